--- a/src/main/java/beechgap/simhost/SettingsCodec.java
+++ b/src/main/java/beechgap/simhost/SettingsCodec.java
@@ -19,7 +19,7 @@
 import java.util.Map;
 
 /** Translates the wire's settings; values that are not named there are ignored. */
-final class SettingsCodec {
+public final class SettingsCodec {
     private static final Map<String, Need> NEEDS = Map.of("write", Need.WRITE, "fresh", Need.FRESH,
             "session", Need.SESSION, "bounded", Need.BOUNDED, "any", Need.ANY);
     private static final Map<String, Repeat> REPEATS =
@@ -31,13 +31,14 @@
     private static final Map<String, ListRole> LIST_ROLES =
             Map.of("off", ListRole.OFF, "start", ListRole.START, "late", ListRole.LATE);
 
-    final RouterApi.Settings settings;
+    public final RouterApi.Settings settings;
     final long zero;
     final List<String> reportFields = new ArrayList<>();
 
     private final JsonObject root;
 
-    SettingsCodec(String json) {
+    /** Reads the settings; throws IllegalArgumentException naming the one at fault. */
+    public SettingsCodec(String json) {
         try {
             root = JsonParser.parseString(json).getAsJsonObject();
         } catch (JsonParseException | IllegalStateException e) {
@@ -59,6 +60,29 @@
                 limits(object("bounds")), prices(object("charges")), classes(family));
     }
 
+    /** The classes' names, in order; only a real proxy needs them. */
+    public List<String> classNames() {
+        List<String> names = new ArrayList<>();
+        for (JsonElement c : array(root, "classes")) {
+            names.add(word(c.getAsJsonObject(), "classes[" + names.size() + "].name"));
+        }
+        return names;
+    }
+
+    /** The zones' names, in order; only a real proxy needs them. */
+    public List<String> zoneNames() {
+        List<String> names = new ArrayList<>();
+        for (JsonElement zone : array(root, "failure-domains")) {
+            names.add(text(zone, "failure-domains"));
+        }
+        return names;
+    }
+
+    /** How long a connection may be idle before a database ends it; only a real proxy needs it. */
+    public long connIdle() {
+        return micros(object("bounds"), "bounds.conn-idle-ms");
+    }
+
     private List<RequestClass> classes(JsonObject family) {
         JsonArray needs = array(family, "family-info.freshness");
         JsonArray bounds = array(family, "family-info.oldest-data-ms");
--- /dev/null
+++ b/src/main/java/crankwick/app/Service.java
@@ -0,0 +1,108 @@
+package crankwick.app;
+
+import beechgap.simhost.SettingsCodec;
+import crankwick.broker.Broker;
+import crankwick.broker.Contract;
+import crankwick.discovery.Discovery;
+import crankwick.net.ClientFront;
+import crankwick.net.Clock;
+import crankwick.net.CodecFilter;
+import crankwick.net.DatabasePool;
+import crankwick.net.EffectRunner;
+import crankwick.net.EventLoop;
+import crankwick.net.Transport;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.Map;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Function;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** One front with its broker, its databases and its list of them: the parts put together, and taken down. */
+final class Service {
+    private static final Logger LOG = LoggerFactory.getLogger(Service.class);
+    /** After SIGTERM new connections arrive for up to 0.4 s; until then everything goes on. */
+    private static final long LINGER = 450_000;
+    private static final long CLOSE_CHECK = 10_000;
+    private static final long CLOSE_SLACK = 600_000;
+    /** Shares of the descriptors; the rest is for discovery, files and the transport. */
+    private static final double CLIENT_SHARE = 0.5;
+    private static final double DATABASE_SHARE = 0.35;
+
+    /** What one wire needs. */
+    record Wire(String name, CodecFilter front, CodecFilter database) {
+    }
+
+    private final Wire wire;
+    private final SettingsCodec settings;
+    private final Transport transport;
+    private final EventLoop loop;
+    private final Clock clock = new Clock();
+    private final Broker broker;
+    private final EffectRunner runner;
+    private final ClientFront front;
+    private Discovery discovery;
+    private final CountDownLatch closed = new CountDownLatch(1);
+
+    Service(Wire wire, SettingsCodec settings, long seed, Map<String, Contract> contracts, int sockets,
+            Transport transport) {
+        this.wire = wire;
+        this.settings = settings;
+        this.transport = transport;
+        loop = new EventLoop("loop-" + wire.name());
+        broker = new Broker(settings.settings, seed, contracts);
+        runner = new EffectRunner(broker, loop, clock);
+        front = new ClientFront(runner, settings.settings.classes(), settings.classNames(),
+                contracts::containsKey, (int) (sockets * CLIENT_SHARE));
+    }
+
+    /** Listens, and is ready once a list that names a database is known. */
+    void start(InetSocketAddress listen, int sockets, Discovery.News known,
+            Function<EventLoop, Discovery> discoveryOn) throws IOException {
+        DatabasePool pool = new DatabasePool(runner, transport, wire.database(),
+                settings.settings.limits().connectTimeout(), settings.connIdle(),
+                (int) (sockets * DATABASE_SHARE));
+        loop.execute(() -> {
+            discovery = discoveryOn.apply(loop);
+            runner.attach(front, pool, discovery);
+            onListed(known);
+        });
+        front.listen(transport, listen, wire.front());
+    }
+
+    /** News of the list, on the loop. */
+    void onListed(Discovery.News news) {
+        runner.listed(news);
+        if (!news.hosts().isEmpty()) {
+            front.ready();
+        }
+    }
+
+    /** Serves on while clients may still come, then answers what is owed, and ends. */
+    void close() {
+        long longest = settings.settings.classes().stream().mapToLong(c -> c.deadline()).max().orElse(0);
+        loop.after(LINGER, () -> {
+            front.close();
+            awaitEnd(clock.now() + longest + CLOSE_SLACK - LINGER);
+        });
+        try {
+            closed.await(longest + CLOSE_SLACK + LINGER, TimeUnit.MICROSECONDS);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+        LOG.info("{} counters: {}", wire.name(), broker.counters());
+    }
+
+    private void awaitEnd(long latest) {
+        if (front.isEmpty() && broker.owed() == 0 || clock.now() > latest) {
+            if (discovery != null) {
+                discovery.close();
+            }
+            closed.countDown();
+        } else {
+            loop.after(CLOSE_CHECK, () -> awaitEnd(latest));
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/crankwick/broker/Broker.java
@@ -0,0 +1,326 @@
+package crankwick.broker;
+
+import beechgap.Router;
+import beechgap.RouterApi;
+import beechgap.RouterApi.Need;
+import beechgap.RouterApi.Result;
+import beechgap.RouterApi.Role;
+import beechgap.RouterApi.Settings;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * The reducer: every change of a request's state happens here, on one thread, as (event, now) to effects.
+ *
+ * <p>A {@link Life} holds at most one attempt in flight and one answer, and only {@link #send} and
+ * {@link #answer} set them: a second attempt beside the first, or a second answer, cannot be asked for.
+ */
+public final class Broker {
+    private static final long SECOND = 1_000_000;
+
+    /** A request from its coming in until it is answered and has no attempt out. */
+    private static final class Life {
+        final Call call;
+        final Account account;
+        final long expires;
+        int attempts;
+        boolean inFlight;
+        boolean written;
+        String server;
+        long sentAt;
+        boolean answered;
+
+        Life(Call call, Account account, long expires) {
+            this.call = call;
+            this.account = account;
+            this.expires = expires;
+        }
+    }
+
+    /** What a team has used of its contract. */
+    private static final class Account {
+        final Contract contract;
+        double tokens;
+        long filledAt;
+        int outstanding;
+
+        Account(Contract contract, long now) {
+            this.contract = contract;
+            tokens = Math.max(1, contract.ratePerSecond());
+            filledAt = now;
+        }
+    }
+
+    private final Settings settings;
+    private final Router router;
+    private final Map<String, Contract> contracts;
+    private final Map<String, Account> accounts = new HashMap<>();
+    private final Map<Long, Life> lives = new HashMap<>();
+    private final ArrayDeque<RouterApi.Event> toRouter = new ArrayDeque<>();
+    private final RouterApi.Actions actions = new RouterActions();
+    private final Counters counters = new Counters();
+    private List<Effect> effects = new ArrayList<>();
+    private long now;
+
+    /** Serves the teams of {@code contracts}; the team "" stands for every caller without its own. */
+    public Broker(Settings settings, long seed, Map<String, Contract> contracts) {
+        this.settings = settings;
+        this.contracts = Map.copyOf(contracts);
+        router = new Router(settings, seed);
+    }
+
+    /** Takes one event at the caller's time; the effects are to be carried out in order. */
+    public List<Effect> reduce(BrokerEvent event, long time) {
+        now = time;
+        effects = new ArrayList<>(4);
+        if (event instanceof BrokerEvent.Taken e) {
+            onTaken(e.call());
+        } else if (event instanceof BrokerEvent.Ended e) {
+            onEnded(e);
+        } else if (event instanceof BrokerEvent.Written e) {
+            onWritten(e);
+        } else if (event instanceof BrokerEvent.Left e) {
+            onLeft(e.ref());
+        } else if (event instanceof BrokerEvent.DeadlineDue e) {
+            onDeadline(e.ref());
+        } else if (event instanceof BrokerEvent.RouterDue e) {
+            toRouter.add(new RouterApi.Timer(e.ref()));
+        } else if (event instanceof BrokerEvent.Probed e) {
+            toRouter.add(new RouterApi.ProbeResult(e.server(), e.result(), e.duration(), e.report()));
+        } else if (event instanceof BrokerEvent.Listed e) {
+            toRouter.add(new RouterApi.Membership(e.kind(), e.members()));
+        }
+        while (!toRouter.isEmpty()) {
+            router.handle(now, toRouter.poll(), actions);
+        }
+        return effects;
+    }
+
+    /** Requests that are still owed an answer. */
+    public long owed() {
+        return lives.values().stream().filter(life -> !life.answered).count();
+    }
+
+    /** What has been counted so far. */
+    public Counters counters() {
+        return counters;
+    }
+
+    private void onTaken(Call call) {
+        counters.countTaken();
+        Contract contract = contracts.get(call.team());
+        if (contract == null) {
+            reply(call.ref(), new Reply.Failed(Reply.Reason.UNKNOWN_TEAM));
+            return;
+        }
+        Account account = accounts.computeIfAbsent(call.team(), team -> new Account(contract, now));
+        Reply objection = objection(account, call);
+        if (objection != null) {
+            reply(call.ref(), objection);
+            return;
+        }
+        long wait = contract.deadlineCap() > 0 ? Math.min(call.patience(), contract.deadlineCap())
+                : call.patience();
+        Life life = new Life(call, account, now + wait);
+        lives.put(call.ref(), life);
+        account.outstanding++;
+        effects.add(new Effect.Arm(wait, new BrokerEvent.DeadlineDue(call.ref())));
+        long tokenAge = call.after() == RouterApi.NONE ? RouterApi.NONE : Math.max(1, now - call.after());
+        toRouter.add(new RouterApi.Request(call.ref(), call.cls(), call.group(), call.session(), tokenAge,
+                life.expires));
+    }
+
+    /** Why the contract forbids the call; null if it does not. A refusal says when there is room again. */
+    private Reply objection(Account account, Call call) {
+        Contract contract = account.contract;
+        if (!contract.classes().isEmpty() && !contract.classes().contains(call.cls())) {
+            return new Reply.Failed(Reply.Reason.CLASS_NOT_ALLOWED);
+        }
+        if (contract.outstanding() > 0 && account.outstanding >= contract.outstanding()) {
+            return new Reply.Refused(Reply.Reason.OVER_OUTSTANDING,
+                    settings.classes().get(call.cls()).aim());
+        }
+        double rate = contract.ratePerSecond();
+        if (rate > 0) {
+            double most = Math.max(1, rate);
+            account.tokens = Math.min(most, account.tokens + rate * (now - account.filledAt) / SECOND);
+            account.filledAt = now;
+            if (account.tokens < 1) {
+                return new Reply.Refused(Reply.Reason.OVER_RATE,
+                        (long) Math.ceil((1 - account.tokens) * SECOND / rate));
+            }
+            account.tokens--;
+        }
+        return null;
+    }
+
+    private void onWritten(BrokerEvent.Written e) {
+        Life life = lives.get(e.ref());
+        if (life != null && life.inFlight && e.attempt() == life.attempts - 1) {
+            life.written = true;
+        }
+    }
+
+    private void onEnded(BrokerEvent.Ended e) {
+        Life life = lives.get(e.ref());
+        if (life != null && life.inFlight && e.attempt() == life.attempts - 1) {
+            end(life, e);
+        }
+    }
+
+    private void end(Life life, BrokerEvent.Ended e) {
+        life.inFlight = false;
+        counters.count(e.result());
+        if (e.result() == Result.OK) {
+            boolean write = settings.classes().get(life.call.cls()).need() == Need.WRITE;
+            answer(life, new Reply.Served(e.value(), write));
+        }
+        toRouter.add(new RouterApi.Outcome(e.ref(), e.attempt(), life.answered, e.result(), e.duration(),
+                life.server, e.role(), e.position(), e.report()));
+        forget(life);
+    }
+
+    private void onLeft(long ref) {
+        Life life = lives.get(ref);
+        if (life != null && !life.answered) {
+            counters.countLeft();
+            settled(life);
+            toRouter.add(new RouterApi.Gone(ref));
+            forget(life);
+        }
+    }
+
+    /** At the deadline nothing stays out, and what the module has not answered by itself has failed. */
+    private void onDeadline(long ref) {
+        Life life = lives.get(ref);
+        if (life == null) {
+            return;
+        }
+        if (life.inFlight) {
+            withdraw(life, life.written ? Result.TIMEOUT : Result.NOT_SENT);
+            while (!toRouter.isEmpty()) {
+                router.handle(now, toRouter.poll(), actions);
+            }
+        }
+        if (!life.answered) {
+            answer(life, new Reply.Failed(Reply.Reason.NO_OUTCOME));
+            toRouter.add(new RouterApi.Gone(ref));
+            forget(life);
+        }
+    }
+
+    private void withdraw(Life life, Result result) {
+        int attempt = life.attempts - 1;
+        effects.add(new Effect.Withdraw(life.call.ref(), attempt));
+        end(life, new BrokerEvent.Ended(life.call.ref(), attempt, result, now - life.sentAt, Role.UNKNOWN,
+                RouterApi.NONE, null, null));
+    }
+
+    private void send(Life life, String server) {
+        int attempt = life.attempts++;
+        boolean mayGo = !life.inFlight && !life.answered && now < life.expires
+                && attempt < settings.limits().maxAttempts();
+        if (!mayGo) {
+            counters.count(Result.NOT_SENT);
+            toRouter.add(new RouterApi.Outcome(life.call.ref(), attempt, life.answered, Result.NOT_SENT, 0,
+                    server, Role.UNKNOWN, RouterApi.NONE, null));
+            return;
+        }
+        life.inFlight = true;
+        life.written = false;
+        life.server = server;
+        life.sentAt = now;
+        counters.countSent();
+        effects.add(new Effect.Send(life.call.ref(), attempt, server, life.expires));
+    }
+
+    private void answer(Life life, Reply reply) {
+        if (!life.answered) {
+            settled(life);
+            reply(life.call.ref(), reply);
+        }
+    }
+
+    /** The caller is owed nothing any more: the one place where its share of a budget is given back. */
+    private void settled(Life life) {
+        life.answered = true;
+        life.account.outstanding--;
+    }
+
+    private void reply(long ref, Reply reply) {
+        counters.count(reply);
+        effects.add(new Effect.Answer(ref, reply));
+    }
+
+    private void forget(Life life) {
+        if (life.answered && !life.inFlight) {
+            lives.remove(life.call.ref());
+        }
+    }
+
+    /** The decision module's actions become effects; what concerns a request that is over is dropped. */
+    private final class RouterActions implements RouterApi.Actions {
+        @Override
+        public void send(long id, String server, long patience) {
+            Life life = lives.get(id);
+            if (life != null) {
+                Broker.this.send(life, server);
+            }
+        }
+
+        @Override
+        public void refuse(long id, long retryAfter) {
+            close(id, new Reply.Refused(Reply.Reason.GIVEN_UP, retryAfter));
+        }
+
+        @Override
+        public void fail(long id) {
+            close(id, new Reply.Failed(Reply.Reason.GIVEN_UP));
+        }
+
+        private void close(long id, Reply reply) {
+            Life life = lives.get(id);
+            if (life != null) {
+                answer(life, reply);
+                forget(life);
+            }
+        }
+
+        @Override
+        public void cancel(long id, int attempt) {
+            Life life = lives.get(id);
+            if (life != null && life.inFlight && attempt == life.attempts - 1) {
+                withdraw(life, Result.CANCELLED);
+            }
+        }
+
+        @Override
+        public void probe(String server) {
+            counters.countProbe();
+            effects.add(new Effect.Probe(server));
+        }
+
+        @Override
+        public void arm(long fromNow, long ref) {
+            effects.add(new Effect.Arm(fromNow, new BrokerEvent.RouterDue(ref)));
+        }
+
+        @Override
+        public void watch() {
+            effects.add(new Effect.Watch());
+        }
+
+        @Override
+        public void fetch() {
+            effects.add(new Effect.Fetch());
+        }
+
+        @Override
+        public void log(String line) {
+            effects.add(new Effect.Log(line));
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/crankwick/broker/Effect.java
@@ -0,0 +1,36 @@
+package crankwick.broker;
+
+/** What the broker asks for; effects are carried out in the order given. */
+public sealed interface Effect {
+    /** Send a request to a database; it should wait until {@code expires} at most. */
+    record Send(long ref, int attempt, String server, long expires) implements Effect {
+    }
+
+    /** Stop waiting for an attempt, so that it can no longer be answered. */
+    record Withdraw(long ref, int attempt) implements Effect {
+    }
+
+    /** Give the caller its final answer. */
+    record Answer(long ref, Reply reply) implements Effect {
+    }
+
+    /** Ask a database for its report. */
+    record Probe(String server) implements Effect {
+    }
+
+    /** Tell the broker {@code event} after so many microseconds. */
+    record Arm(long delay, BrokerEvent event) implements Effect {
+    }
+
+    /** Ask discovery for changes from now on. */
+    record Watch() implements Effect {
+    }
+
+    /** Ask discovery for the whole list once. */
+    record Fetch() implements Effect {
+    }
+
+    /** A line for the operators. */
+    record Log(String line) implements Effect {
+    }
+}
--- /dev/null
+++ b/src/main/java/crankwick/broker/Reply.java
@@ -0,0 +1,21 @@
+package crankwick.broker;
+
+/** A request's one final answer, for any wire to word. */
+public sealed interface Reply {
+    /** Why a request was refused or failed: each reason has its own number on a wire that has numbers. */
+    enum Reason {
+        GIVEN_UP, UNKNOWN_TEAM, CLASS_NOT_ALLOWED, OVER_RATE, OVER_OUTSTANDING, NO_OUTCOME, UNREADABLE
+    }
+
+    /** Served with the value as a database gave it; null is SQL's NULL. */
+    record Served(byte[] value, boolean write) implements Reply {
+    }
+
+    /** Refused: nothing ran that matters; {@code retryAfter} in microseconds, 0 for no word on it. */
+    record Refused(Reason reason, long retryAfter) implements Reply {
+    }
+
+    /** Failed: it may or may not have had an effect. */
+    record Failed(Reason reason) implements Reply {
+    }
+}
--- /dev/null
+++ b/src/main/java/crankwick/net/DatabaseMessage.java
@@ -0,0 +1,21 @@
+package crankwick.net;
+
+import beechgap.RouterApi.Report;
+import beechgap.RouterApi.Result;
+import beechgap.RouterApi.Role;
+
+/** What a database says, whatever its wire. */
+public sealed interface DatabaseMessage {
+    /** The connection is up and takes statements. */
+    record Greeted() implements DatabaseMessage {
+    }
+
+    /** The whole answer to a command; {@code last} if the database ends the connection after it. */
+    record Answered(Result result, Role role, long position, Report report, byte[] value, boolean last)
+            implements DatabaseMessage {
+    }
+
+    /** What came in breaks the protocol. */
+    record Broken(String fault) implements DatabaseMessage {
+    }
+}
--- /dev/null
+++ b/src/main/java/crankwick/net/FrontMessage.java
@@ -0,0 +1,28 @@
+package crankwick.net;
+
+/** What a client says, whatever its wire. */
+public sealed interface FrontMessage {
+    /** It logs in for a team. */
+    record Login(String team) implements FrontMessage {
+    }
+
+    /** One statement. */
+    record Query(String text) implements FrontMessage {
+    }
+
+    /** The empty query: is the proxy ready? */
+    record Empty() implements FrontMessage {
+    }
+
+    /** It no longer wants the answer to what it sent last. */
+    record Attention() implements FrontMessage {
+    }
+
+    /** It ends the connection. */
+    record Quit() implements FrontMessage {
+    }
+
+    /** What came in breaks the protocol; nothing after it can be trusted. */
+    record Broken(String fault) implements FrontMessage {
+    }
+}
--- /dev/null
+++ b/src/main/java/crankwick/net/Transport.java
@@ -0,0 +1,103 @@
+package crankwick.net;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.SocketAddress;
+import org.glassfish.grizzly.CompletionHandler;
+import org.glassfish.grizzly.Connection;
+import org.glassfish.grizzly.filterchain.BaseFilter;
+import org.glassfish.grizzly.filterchain.FilterChain;
+import org.glassfish.grizzly.filterchain.FilterChainBuilder;
+import org.glassfish.grizzly.filterchain.FilterChainContext;
+import org.glassfish.grizzly.filterchain.TransportFilter;
+import org.glassfish.grizzly.memory.HeapMemoryManager;
+import org.glassfish.grizzly.nio.transport.TCPNIOBindingHandler;
+import org.glassfish.grizzly.nio.transport.TCPNIOConnectorHandler;
+import org.glassfish.grizzly.nio.transport.TCPNIOServerConnection;
+import org.glassfish.grizzly.nio.transport.TCPNIOTransport;
+import org.glassfish.grizzly.nio.transport.TCPNIOTransportBuilder;
+import org.glassfish.grizzly.strategies.SameThreadIOStrategy;
+
+/** The process's one Grizzly transport: a single selector thread that decodes and hands over to the loop. */
+public final class Transport implements AutoCloseable {
+    private static final int READ_BUFFER = 16 * 1024;
+    /** Guards against clients and databases that do not read: past this the write fails. */
+    private static final int MAX_UNWRITTEN = 1 << 20;
+    private static final int BACKLOG = 1024;
+
+    private final TCPNIOTransport transport;
+
+    /** Starts the selector thread. */
+    public Transport() throws IOException {
+        transport = TCPNIOTransportBuilder.newInstance()
+                .setSelectorRunnersCount(1)
+                .setWorkerThreadPoolConfig(null)
+                .setIOStrategy(SameThreadIOStrategy.getInstance())
+                .setMemoryManager(new HeapMemoryManager(READ_BUFFER))
+                .setReadBufferSize(READ_BUFFER)
+                .setMaxAsyncWriteQueueSizeInBytes(MAX_UNWRITTEN)
+                .setServerConnectionBackLog(BACKLOG)
+                .setReuseAddress(true)
+                .setTcpNoDelay(true)
+                .build();
+        transport.start();
+    }
+
+    /** Listens at an address. */
+    public TCPNIOServerConnection bind(InetSocketAddress address, BaseFilter... filters) throws IOException {
+        return TCPNIOBindingHandler.builder(transport).processor(chain(filters)).build().bind(address);
+    }
+
+    /** Connects without waiting. */
+    public void connect(SocketAddress address, CompletionHandler<Connection<SocketAddress>> whenUp,
+            BaseFilter... filters) {
+        TCPNIOConnectorHandler.builder(transport).processor(chain(filters)).build()
+                .connect(address, new Connected(whenUp));
+    }
+
+    /** The context's connection; a TCP transport's is always of socket addresses. */
+    @SuppressWarnings("unchecked")
+    static Connection<SocketAddress> connection(FilterChainContext context) {
+        return context.getConnection();
+    }
+
+    private static FilterChain chain(BaseFilter... filters) {
+        FilterChainBuilder chain = FilterChainBuilder.stateless().add(new TransportFilter());
+        for (BaseFilter filter : filters) {
+            chain.add(filter);
+        }
+        return chain.build();
+    }
+
+    @Override
+    public void close() throws IOException {
+        transport.shutdownNow();
+    }
+
+    /** Grizzly's connector speaks of raw connections; this is the one place that narrows them. */
+    @SuppressWarnings("rawtypes")
+    private record Connected(CompletionHandler<Connection<SocketAddress>> inner)
+            implements CompletionHandler<Connection> {
+        @Override
+        public void cancelled() {
+            inner.cancelled();
+        }
+
+        @Override
+        public void failed(Throwable fault) {
+            inner.failed(fault);
+        }
+
+        @Override
+        @SuppressWarnings("unchecked")
+        public void completed(Connection connection) {
+            inner.completed(connection);
+        }
+
+        @Override
+        @SuppressWarnings("unchecked")
+        public void updated(Connection connection) {
+            inner.updated(connection);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/crankwick/pg/PgFrontCodec.java
@@ -0,0 +1,148 @@
+package crankwick.pg;
+
+import crankwick.broker.Reply;
+import crankwick.net.CodecFilter;
+import crankwick.net.FrontMessage;
+import crankwick.net.FrontReply;
+import org.glassfish.grizzly.Buffer;
+import org.glassfish.grizzly.filterchain.FilterChainContext;
+
+/** The client's side of PostgreSQL's protocol: no password, simple queries. */
+public final class PgFrontCodec extends CodecFilter {
+    private static final int VERSION_3 = 3 << 16;
+    private static final int SSL_REQUEST = 80877103;
+    private static final int GSS_REQUEST = 80877104;
+    private static final int CANCEL_REQUEST = 80877102;
+    private static final int MAX_STARTUP = 10_000;
+    private static final int MAX_MESSAGE = 256 * 1024;
+    private static final int BYTEA = 17;
+
+    @Override
+    protected Decoder newDecoder() {
+        return new FrontDecoder();
+    }
+
+    private static final class FrontDecoder extends Decoder {
+        private boolean started;
+        private boolean broken;
+
+        @Override
+        protected Progress decode(Buffer in, FilterChainContext context) {
+            if (broken) {
+                in.position(in.limit());
+                return Progress.SKIPPED;
+            }
+            return started ? command(in) : startup(in, context);
+        }
+
+        private Progress startup(Buffer in, FilterChainContext context) {
+            if (in.remaining() < 4) {
+                return Progress.INCOMPLETE;
+            }
+            int length = in.getInt();
+            if (length < 8 || length > MAX_STARTUP) {
+                return broken(in, "unusable length of a startup message");
+            }
+            if (in.remaining() < length - 4) {
+                return Progress.INCOMPLETE;
+            }
+            int code = in.getInt();
+            in.position(in.position() + length - 8);
+            if (code == SSL_REQUEST || code == GSS_REQUEST) {
+                answer(context, new byte[] {'N'});
+                return Progress.SKIPPED;
+            }
+            if (code == CANCEL_REQUEST) {
+                return message(new FrontMessage.Quit());
+            }
+            if (code >> 16 != VERSION_3 >> 16) {
+                return broken(in, "unknown version of the protocol");
+            }
+            started = true;
+            return message(new FrontMessage.Login(""));
+        }
+
+        private Progress command(Buffer in) {
+            if (in.remaining() < 5) {
+                return Progress.INCOMPLETE;
+            }
+            char type = (char) in.get();
+            int length = in.getInt();
+            if (length < 4 || length > MAX_MESSAGE) {
+                return broken(in, "unusable length of a message");
+            }
+            if (in.remaining() < length - 4) {
+                return Progress.INCOMPLETE;
+            }
+            byte[] body = new byte[length - 4];
+            in.get(body);
+            if (type == 'X') {
+                return message(new FrontMessage.Quit());
+            }
+            if (type != 'Q' || body.length == 0 || body[body.length - 1] != 0) {
+                return broken(in, "not a simple query");
+            }
+            String text = new String(body, 0, body.length - 1, PgWriter.CHARSET);
+            return message(text.isBlank() ? new FrontMessage.Empty() : new FrontMessage.Query(text));
+        }
+
+        private Progress broken(Buffer in, String fault) {
+            broken = true;
+            in.position(in.limit());
+            return message(new FrontMessage.Broken(fault));
+        }
+    }
+
+    @Override
+    protected byte[] encode(Object value) {
+        PgWriter out = new PgWriter();
+        if (value instanceof FrontReply.Final f) {
+            answer(out, f.reply());
+        } else if (value instanceof FrontReply.Nothing) {
+            out.end('I');
+        } else if (value instanceof FrontReply.Unreadable u) {
+            error(out, "ERROR", "42601", u.fault(), null);
+        } else if (value instanceof FrontReply.Fatal f) {
+            error(out, "FATAL", f.tooMany() ? "53300" : "08P01", f.fault(), null);
+            return out.toBytes();
+        } else {
+            out.int32(0).end('R');
+            out.text("server_version").text("14.0 (crankwick)").end('S');
+            out.text("client_encoding").text("UTF8").end('S');
+        }
+        return out.int8('I').end('Z').toBytes();
+    }
+
+    private static void answer(PgWriter out, Reply reply) {
+        if (reply instanceof Reply.Served served) {
+            out.int16(1).text("val").int32(0).int16(0).int32(BYTEA).int16(-1).int32(-1).int16(1).end('T');
+            out.int16(1);
+            if (served.value() == null) {
+                out.int32(-1);
+            } else {
+                out.int32(served.value().length).bytes(served.value());
+            }
+            out.end('D');
+            out.text(served.write() ? "INSERT 0 1" : "SELECT 1").end('C');
+        } else if (reply instanceof Reply.Refused refused) {
+            long millis = (refused.retryAfter() + 999) / 1_000;
+            error(out, "ERROR", "53300", "refused: " + refused.reason(),
+                    millis > 0 ? Long.toString(millis) : null);
+        } else if (reply instanceof Reply.Failed failed) {
+            String code = switch (failed.reason()) {
+                case UNKNOWN_TEAM -> "28000";
+                case CLASS_NOT_ALLOWED -> "42501";
+                default -> "58000";
+            };
+            error(out, "ERROR", code, "failed: " + failed.reason(), null);
+        }
+    }
+
+    private static void error(PgWriter out, String severity, String code, String message, String detail) {
+        out.int8('S').text(severity).int8('V').text(severity).int8('C').text(code).int8('M').text(message);
+        if (detail != null) {
+            out.int8('D').text(detail);
+        }
+        out.int8(0).end('E');
+    }
+}
--- /dev/null
+++ b/src/main/java/crankwick/pg/PgWriter.java
@@ -0,0 +1,60 @@
+package crankwick.pg;
+
+import java.io.ByteArrayOutputStream;
+import java.nio.charset.Charset;
+import java.nio.charset.StandardCharsets;
+
+/** Builds messages of version 3: a type, a length, the fields. */
+final class PgWriter {
+    /** Each byte a character: statements and values pass through unchanged, whatever their encoding. */
+    static final Charset CHARSET = StandardCharsets.ISO_8859_1;
+
+    private final ByteArrayOutputStream out = new ByteArrayOutputStream(128);
+    private final ByteArrayOutputStream body = new ByteArrayOutputStream(128);
+
+    PgWriter int16(int value) {
+        body.write(value >> 8);
+        body.write(value);
+        return this;
+    }
+
+    PgWriter int32(int value) {
+        return int16(value >> 16).int16(value);
+    }
+
+    PgWriter int8(int value) {
+        body.write(value);
+        return this;
+    }
+
+    PgWriter bytes(byte[] value) {
+        body.writeBytes(value);
+        return this;
+    }
+
+    PgWriter text(String value) {
+        return bytes(value.getBytes(CHARSET)).int8(0);
+    }
+
+    /** Ends a message that has a type. */
+    PgWriter end(char type) {
+        out.write(type);
+        return end();
+    }
+
+    /** Ends a message that has none, as at the start. */
+    PgWriter end() {
+        int length = body.size() + 4;
+        out.write(length >> 24);
+        out.write(length >> 16);
+        out.write(length >> 8);
+        out.write(length);
+        out.writeBytes(body.toByteArray());
+        body.reset();
+        return this;
+    }
+
+    byte[] toBytes() {
+        return out.toByteArray();
+    }
+}
