--- a/src/main/java/beechgap/Router.java
+++ b/src/main/java/crankwick/Router.java
@@ -1,11 +1,11 @@
-package beechgap;
+package crankwick;
 
 // The whole interface - settings, events, actions - stands in RouterApi.java; what is kept of each server,
 // request and group is declared in RouterState.java.
 
-import beechgap.RouterState.Group;
-import beechgap.RouterState.Pending;
-import beechgap.RouterState.Server;
+import crankwick.RouterState.Group;
+import crankwick.RouterState.Pending;
+import crankwick.RouterState.Server;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Comparator;
--- a/src/main/java/beechgap/RouterApi.java
+++ b/src/main/java/crankwick/RouterApi.java
@@ -1,4 +1,4 @@
-package beechgap;
+package crankwick;
 
 import java.util.List;
 
--- a/src/main/java/beechgap/RouterState.java
+++ b/src/main/java/crankwick/RouterState.java
@@ -1,9 +1,9 @@
-package beechgap;
+package crankwick;
 
-import beechgap.RouterApi.Member;
-import beechgap.RouterApi.Request;
-import beechgap.RouterApi.RequestClass;
-import beechgap.RouterApi.Role;
+import crankwick.RouterApi.Member;
+import crankwick.RouterApi.Request;
+import crankwick.RouterApi.RequestClass;
+import crankwick.RouterApi.Role;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
--- a/src/main/java/crankwick/app/Main.java
+++ b/src/main/java/crankwick/app/Main.java
@@ -1,12 +1,12 @@
 package crankwick.app;
 
-import beechgap.simhost.Simhost;
 import crankwick.broker.Contract;
 import crankwick.discovery.HttpWatch;
 import crankwick.discovery.ListCodec;
 import crankwick.net.Transport;
 import crankwick.pg.PgDatabaseCodec;
 import crankwick.pg.PgFrontCodec;
+import crankwick.simhost.Simhost;
 import java.io.IOException;
 import java.nio.file.Path;
 import java.util.ArrayList;
--- a/src/main/java/crankwick/app/PlatformConfig.java
+++ b/src/main/java/crankwick/app/PlatformConfig.java
@@ -1,11 +1,11 @@
 package crankwick.app;
 
-import beechgap.RouterApi.ListKind;
-import beechgap.simhost.SettingsCodec;
 import com.google.gson.JsonObject;
 import com.google.gson.JsonParser;
+import crankwick.RouterApi.ListKind;
 import crankwick.discovery.Discovery;
 import crankwick.discovery.ListCodec;
+import crankwick.simhost.SettingsCodec;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.file.Files;
--- a/src/main/java/crankwick/app/Service.java
+++ b/src/main/java/crankwick/app/Service.java
@@ -1,6 +1,5 @@
 package crankwick.app;
 
-import beechgap.simhost.SettingsCodec;
 import crankwick.broker.Broker;
 import crankwick.broker.Contract;
 import crankwick.discovery.Discovery;
@@ -11,6 +10,7 @@
 import crankwick.net.EffectRunner;
 import crankwick.net.EventLoop;
 import crankwick.net.Transport;
+import crankwick.simhost.SettingsCodec;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.Map;
--- a/src/main/java/crankwick/broker/Broker.java
+++ b/src/main/java/crankwick/broker/Broker.java
@@ -1,11 +1,11 @@
 package crankwick.broker;
 
-import beechgap.Router;
-import beechgap.RouterApi;
-import beechgap.RouterApi.Need;
-import beechgap.RouterApi.Result;
-import beechgap.RouterApi.Role;
-import beechgap.RouterApi.Settings;
+import crankwick.Router;
+import crankwick.RouterApi.Need;
+import crankwick.RouterApi.Result;
+import crankwick.RouterApi.Role;
+import crankwick.RouterApi.Settings;
+import crankwick.RouterApi;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.HashMap;
--- a/src/main/java/crankwick/broker/BrokerEvent.java
+++ b/src/main/java/crankwick/broker/BrokerEvent.java
@@ -1,10 +1,10 @@
 package crankwick.broker;
 
-import beechgap.RouterApi.ListKind;
-import beechgap.RouterApi.Member;
-import beechgap.RouterApi.Report;
-import beechgap.RouterApi.Result;
-import beechgap.RouterApi.Role;
+import crankwick.RouterApi.ListKind;
+import crankwick.RouterApi.Member;
+import crankwick.RouterApi.Report;
+import crankwick.RouterApi.Result;
+import crankwick.RouterApi.Role;
 import java.util.List;
 
 /** What the broker is told. */
--- a/src/main/java/crankwick/broker/Counters.java
+++ b/src/main/java/crankwick/broker/Counters.java
@@ -1,6 +1,6 @@
 package crankwick.broker;
 
-import beechgap.RouterApi.Result;
+import crankwick.RouterApi.Result;
 import java.util.EnumMap;
 import java.util.Map;
 
--- a/src/main/java/crankwick/discovery/Discovery.java
+++ b/src/main/java/crankwick/discovery/Discovery.java
@@ -1,7 +1,7 @@
 package crankwick.discovery;
 
-import beechgap.RouterApi.ListKind;
-import beechgap.RouterApi.Member;
+import crankwick.RouterApi.ListKind;
+import crankwick.RouterApi.Member;
 import java.net.InetSocketAddress;
 import java.util.List;
 
--- a/src/main/java/crankwick/discovery/HttpWatch.java
+++ b/src/main/java/crankwick/discovery/HttpWatch.java
@@ -1,6 +1,6 @@
 package crankwick.discovery;
 
-import beechgap.RouterApi.ListKind;
+import crankwick.RouterApi.ListKind;
 import crankwick.net.EventLoop;
 import crankwick.net.Transport;
 import java.io.IOException;
--- a/src/main/java/crankwick/net/ClientFront.java
+++ b/src/main/java/crankwick/net/ClientFront.java
@@ -1,7 +1,7 @@
 package crankwick.net;
 
-import beechgap.RouterApi.Repeat;
-import beechgap.RouterApi.RequestClass;
+import crankwick.RouterApi.Repeat;
+import crankwick.RouterApi.RequestClass;
 import crankwick.broker.BrokerEvent;
 import crankwick.broker.Call;
 import crankwick.broker.Reply;
--- a/src/main/java/crankwick/net/DatabaseMessage.java
+++ b/src/main/java/crankwick/net/DatabaseMessage.java
@@ -1,8 +1,8 @@
 package crankwick.net;
 
-import beechgap.RouterApi.Report;
-import beechgap.RouterApi.Result;
-import beechgap.RouterApi.Role;
+import crankwick.RouterApi.Report;
+import crankwick.RouterApi.Result;
+import crankwick.RouterApi.Role;
 
 /** What a database says, whatever its wire. */
 public sealed interface DatabaseMessage {
--- a/src/main/java/crankwick/net/DatabasePool.java
+++ b/src/main/java/crankwick/net/DatabasePool.java
@@ -1,9 +1,9 @@
 package crankwick.net;
 
-import beechgap.RouterApi;
-import beechgap.RouterApi.Result;
-import beechgap.RouterApi.Role;
-import beechgap.RouterApi.Standing;
+import crankwick.RouterApi.Result;
+import crankwick.RouterApi.Role;
+import crankwick.RouterApi.Standing;
+import crankwick.RouterApi;
 import crankwick.broker.BrokerEvent;
 import crankwick.broker.Effect;
 import crankwick.discovery.Discovery;
--- a/src/main/java/crankwick/net/ReportCodec.java
+++ b/src/main/java/crankwick/net/ReportCodec.java
@@ -1,8 +1,8 @@
 package crankwick.net;
 
-import beechgap.RouterApi;
-import beechgap.RouterApi.Report;
-import beechgap.RouterApi.Role;
+import crankwick.RouterApi.Report;
+import crankwick.RouterApi.Role;
+import crankwick.RouterApi;
 
 /** Reads a load report, {@code x0=1767225600.123,x1=0}, which is worded alike on every wire. */
 public final class ReportCodec {
--- a/src/main/java/crankwick/pg/PgDatabaseCodec.java
+++ b/src/main/java/crankwick/pg/PgDatabaseCodec.java
@@ -1,9 +1,9 @@
 package crankwick.pg;
 
-import beechgap.RouterApi;
-import beechgap.RouterApi.Report;
-import beechgap.RouterApi.Result;
-import beechgap.RouterApi.Role;
+import crankwick.RouterApi.Report;
+import crankwick.RouterApi.Result;
+import crankwick.RouterApi.Role;
+import crankwick.RouterApi;
 import crankwick.net.CodecFilter;
 import crankwick.net.DatabaseCommand;
 import crankwick.net.DatabaseMessage;
--- a/src/main/java/beechgap/simhost/Host.java
+++ b/src/main/java/crankwick/simhost/Host.java
@@ -1,12 +1,12 @@
-package beechgap.simhost;
-
-import beechgap.Router;
-import beechgap.RouterApi;
-import beechgap.RouterApi.ListKind;
-import beechgap.RouterApi.Report;
-import beechgap.RouterApi.Result;
-import beechgap.RouterApi.Role;
-import beechgap.RouterApi.Standing;
+package crankwick.simhost;
+
+import crankwick.Router;
+import crankwick.RouterApi.ListKind;
+import crankwick.RouterApi.Report;
+import crankwick.RouterApi.Result;
+import crankwick.RouterApi.Role;
+import crankwick.RouterApi.Standing;
+import crankwick.RouterApi;
 import java.io.IOException;
 import java.io.InputStream;
 import java.io.OutputStream;
--- a/src/main/java/beechgap/simhost/ReplyWriter.java
+++ b/src/main/java/crankwick/simhost/ReplyWriter.java
@@ -1,6 +1,6 @@
-package beechgap.simhost;
+package crankwick.simhost;
 
-import beechgap.RouterApi;
+import crankwick.RouterApi;
 import java.io.IOException;
 import java.io.OutputStream;
 import java.nio.charset.StandardCharsets;
--- a/src/main/java/beechgap/simhost/SettingsCodec.java
+++ b/src/main/java/crankwick/simhost/SettingsCodec.java
@@ -1,17 +1,17 @@
-package beechgap.simhost;
-
-import beechgap.RouterApi;
-import beechgap.RouterApi.ListRole;
-import beechgap.RouterApi.Need;
-import beechgap.RouterApi.Repeat;
-import beechgap.RouterApi.RequestClass;
-import beechgap.RouterApi.Scope;
-import beechgap.RouterApi.WhenBehind;
+package crankwick.simhost;
+
 import com.google.gson.JsonArray;
 import com.google.gson.JsonElement;
 import com.google.gson.JsonObject;
 import com.google.gson.JsonParseException;
 import com.google.gson.JsonParser;
+import crankwick.RouterApi.ListRole;
+import crankwick.RouterApi.Need;
+import crankwick.RouterApi.Repeat;
+import crankwick.RouterApi.RequestClass;
+import crankwick.RouterApi.Scope;
+import crankwick.RouterApi.WhenBehind;
+import crankwick.RouterApi;
 import java.math.BigDecimal;
 import java.math.RoundingMode;
 import java.util.ArrayList;
--- a/src/main/java/beechgap/simhost/Simhost.java
+++ b/src/main/java/crankwick/simhost/Simhost.java
@@ -1,4 +1,4 @@
-package beechgap.simhost;
+package crankwick.simhost;
 
 import java.io.FileDescriptor;
 import java.io.FileInputStream;
--- a/src/main/java/beechgap/simhost/WireException.java
+++ b/src/main/java/crankwick/simhost/WireException.java
@@ -1,4 +1,4 @@
-package beechgap.simhost;
+package crankwick.simhost;
 
 /** Malformed wire input; the message names the line at fault. */
 final class WireException extends RuntimeException {
--- a/src/test/java/beechgap/ModuleSizeTest.java
+++ b/src/test/java/crankwick/ModuleSizeTest.java
@@ -1,4 +1,4 @@
-package beechgap;
+package crankwick;
 
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
@@ -12,7 +12,7 @@
 class ModuleSizeTest {
     @Test
     void moduleHoldsAtMost850LinesOf110Characters() throws IOException {
-        List<String> lines = Files.readAllLines(Path.of("src/main/java/beechgap/Router.java"));
+        List<String> lines = Files.readAllLines(Path.of("src/main/java/crankwick/Router.java"));
         long written = lines.stream().filter(line -> !line.isBlank()).count();
         assertTrue(written <= 850, "non-blank lines: " + written);
         assertTrue(lines.stream().allMatch(line -> line.length() <= 110));
--- a/src/test/java/beechgap/PrimaryTest.java
+++ b/src/test/java/crankwick/PrimaryTest.java
@@ -1,4 +1,4 @@
-package beechgap;
+package crankwick;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
@@ -6,9 +6,9 @@
 import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import beechgap.RouterApi.Result;
-import beechgap.RouterApi.Role;
-import beechgap.RouterApi.Standing;
+import crankwick.RouterApi.Result;
+import crankwick.RouterApi.Role;
+import crankwick.RouterApi.Standing;
 import org.junit.jupiter.api.Test;
 
 /** Locating the primary, and carrying writes across its changes. */
--- a/src/test/java/beechgap/ReadPathTest.java
+++ b/src/test/java/crankwick/ReadPathTest.java
@@ -1,4 +1,4 @@
-package beechgap;
+package crankwick;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
@@ -6,8 +6,8 @@
 import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import beechgap.RouterApi.Result;
-import beechgap.RouterApi.Role;
+import crankwick.RouterApi.Result;
+import crankwick.RouterApi.Role;
 import org.junit.jupiter.api.Test;
 
 /** Each kind of read, each source of its token, and the wait. */
--- a/src/test/java/beechgap/ShedTest.java
+++ b/src/test/java/crankwick/ShedTest.java
@@ -1,4 +1,4 @@
-package beechgap;
+package crankwick;
 
 import static org.junit.jupiter.api.Assertions.assertNotNull;
 import static org.junit.jupiter.api.Assertions.assertNull;
--- a/src/test/java/beechgap/simhost/HostTest.java
+++ b/src/test/java/crankwick/simhost/HostTest.java
@@ -1,4 +1,4 @@
-package beechgap.simhost;
+package crankwick.simhost;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertThrows;
--- a/src/test/java/beechgap/simhost/JarIT.java
+++ b/src/test/java/crankwick/simhost/JarIT.java
@@ -1,4 +1,4 @@
-package beechgap.simhost;
+package crankwick.simhost;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
@@ -20,7 +20,7 @@
         Path in = Files.writeString(folder.resolve("in"), input);
         String java = Path.of(System.getProperty("java.home"), "bin", "java").toString();
         return new ProcessBuilder(java, "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-XX:-UsePerfData",
-                "-jar", "target/beechgap.jar", "simhost").redirectInput(in.toFile())
+                "-jar", "target/crankwick.jar", "simhost").redirectInput(in.toFile())
                 .redirectOutput(file("out")).redirectError(file("err")).start().waitFor();
     }
 
--- a/src/test/java/beechgap/simhost/WireScript.java
+++ b/src/test/java/crankwick/simhost/WireScript.java
@@ -1,4 +1,4 @@
-package beechgap.simhost;
+package crankwick.simhost;
 
 /** A transcript of the wire of this project's own making. */
 final class WireScript {
