--- a/src/main/java/crankwick/net/EventLoop.java
+++ b/src/main/java/crankwick/net/EventLoop.java
@@ -9,6 +9,8 @@
 public final class EventLoop implements AutoCloseable {
     private static final Logger LOG = LoggerFactory.getLogger(EventLoop.class);
 
+    private static final long WORTH_A_WORD = 30_000_000;
+
     private final ScheduledThreadPoolExecutor executor;
 
     /** Starts the thread. */
@@ -29,10 +31,21 @@
 
     /** Runs a task on the loop after so many microseconds. */
     public Timer after(long micros, Runnable task) {
-        var future = executor.schedule(guarded(task), Math.max(0, micros), TimeUnit.MICROSECONDS);
+        long due = System.nanoTime() + micros * 1_000;
+        var future = executor.schedule(guarded(() -> {
+            noteLag(System.nanoTime() - due);
+            task.run();
+        }), Math.max(0, micros), TimeUnit.MICROSECONDS);
         return () -> future.cancel(false);
     }
 
+    /** A timer this late eats into the slack that answers have at their deadline. */
+    private void noteLag(long nanos) {
+        if (nanos > WORTH_A_WORD) {
+            LOG.warn("the loop is {} ms late", nanos / 1_000_000);
+        }
+    }
+
     /** A fault in one task must not stop the loop: every other request still needs its answer. */
     private static Runnable guarded(Runnable task) {
         return () -> {
