--- a/src/main/java/crankwick/app/Main.java
+++ b/src/main/java/crankwick/app/Main.java
@@ -1,12 +1,17 @@
 package crankwick.app;
 
+import crankwick.RouterApi.ListKind;
 import crankwick.broker.Contract;
+import crankwick.discovery.Discovery;
+import crankwick.discovery.DnsSdFile;
 import crankwick.discovery.HttpWatch;
 import crankwick.discovery.ListCodec;
 import crankwick.net.Transport;
 import crankwick.pg.PgDatabaseCodec;
 import crankwick.pg.PgFrontCodec;
 import crankwick.simhost.Simhost;
+import crankwick.tds.TdsDatabaseCodec;
+import crankwick.tds.TdsFrontCodec;
 import java.io.IOException;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -16,30 +21,40 @@
 
 /** {@code serve} is one real proxy; {@code simhost} speaks the simulator's wire with the same decisions. */
 public final class Main {
-    private static final String USAGE = "usage: crankwick.jar serve | simhost";
+    private static final String USAGE = "usage: crankwick.jar serve [OPERATOR.toml] | simhost";
 
     private Main() {
     }
 
     /** Exits 2 with one line where the command or a configuration can't be used. */
     public static void main(String[] args) throws IOException, InterruptedException {
-        String command = args.length == 1 ? args[0] : "";
-        switch (command) {
-            case "simhost" -> Simhost.run();
-            case "serve" -> serve();
-            default -> refuse(USAGE);
+        if (args.length == 1 && args[0].equals("simhost")) {
+            Simhost.run();
+        } else if (args.length >= 1 && args.length <= 2 && args[0].equals("serve")) {
+            serve(args.length == 2 ? Path.of(args[1]) : null);
+        } else {
+            refuse(USAGE);
         }
     }
 
-    private static void serve() throws IOException, InterruptedException {
+    /** The platform's front where the platform configures one, the TDS front where an operator does. */
+    private static void serve(Path operator) throws IOException, InterruptedException {
         SLF4JBridgeHandler.removeHandlersForRootLogger();
         SLF4JBridgeHandler.install();
         List<Service> services = new ArrayList<>();
         try {
-            Transport transport = new Transport();
             String platform = System.getenv("ROUTER_CONFIG");
-            if (platform != null) {
-                services.add(platform(PlatformConfig.read(Path.of(platform)), transport));
+            if (platform == null && operator == null) {
+                refuse("neither ROUTER_CONFIG nor an operator's file is given");
+            }
+            PlatformConfig config = platform == null ? null : PlatformConfig.read(Path.of(platform));
+            OperatorFile file = operator == null ? null : OperatorFile.read(operator);
+            Transport transport = new Transport();
+            if (config != null) {
+                services.add(platform(config, transport));
+            }
+            if (file != null) {
+                services.add(tds(file, transport));
             }
         } catch (IllegalArgumentException e) {
             refuse(e.getMessage());
@@ -58,6 +73,18 @@
         return service;
     }
 
+    private static Service tds(OperatorFile file, Transport transport) throws IOException {
+        var wire = new Service.Wire("tds", new TdsFrontCodec(), new TdsDatabaseCodec());
+        List<String> zones = file.settings().zoneNames();
+        Service service = new Service(wire, file.settings(), System.nanoTime(), file.contracts(),
+                file.sockets(), transport);
+        var known = new Discovery.News(ListKind.RESTORED,
+                DnsSdFile.parse(file.records(), file.service(), zones));
+        service.start(file.listen(), file.sockets(), known, loop -> new DnsSdFile(file.records(),
+                file.service(), zones, file.rereadEvery(), loop, service::onListed));
+        return service;
+    }
+
     private static void refuse(String why) {
         System.err.println(why);
         System.exit(2);
--- /dev/null
+++ b/src/main/java/crankwick/app/OperatorFile.java
@@ -0,0 +1,159 @@
+package crankwick.app;
+
+import crankwick.broker.Contract;
+import crankwick.discovery.DnsSdFile;
+import crankwick.discovery.ListCodec;
+import crankwick.simhost.SettingsCodec;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.file.Path;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.Function;
+import java.util.function.Supplier;
+import org.tomlj.Toml;
+import org.tomlj.TomlArray;
+import org.tomlj.TomlInvalidTypeException;
+import org.tomlj.TomlParseResult;
+import org.tomlj.TomlTable;
+import org.xbill.DNS.Name;
+import org.xbill.DNS.TextParseException;
+
+/** The operator's file of the TDS front; see deploy/tds.toml for its keys. */
+record OperatorFile(InetSocketAddress listen, int sockets, Path records, Name service, long rereadEvery,
+        Map<String, Contract> contracts, SettingsCodec settings) {
+    private static final Set<String> KEYS = Set.of("listen", "sockets", "discovery", "teams", "settings");
+    private static final Set<String> DISCOVERY_KEYS = Set.of("records", "service", "reread_ms");
+    private static final Set<String> TEAM_KEYS =
+            Set.of("classes", "rate_per_second", "outstanding", "deadline_cap_ms");
+
+    /** Reads the file; throws IllegalArgumentException naming the key at fault. */
+    static OperatorFile read(Path file) {
+        TomlParseResult root;
+        try {
+            root = Toml.parse(file);
+        } catch (IOException e) {
+            throw new IllegalArgumentException(file + " can't be read", e);
+        }
+        if (root.hasErrors()) {
+            throw new IllegalArgumentException(file + ": " + root.errors().get(0));
+        }
+        try {
+            return read(file, root);
+        } catch (IllegalArgumentException e) {
+            throw new IllegalArgumentException(file + ": " + e.getMessage(), e);
+        }
+    }
+
+    private static OperatorFile read(Path file, TomlTable root) {
+        known(root, "", KEYS);
+        TomlTable discovery = table(root, "discovery");
+        known(discovery, "discovery.", DISCOVERY_KEYS);
+        SettingsCodec settings;
+        try {
+            settings = new SettingsCodec(table(root, "settings").toJson());
+        } catch (IllegalArgumentException e) {
+            throw new IllegalArgumentException("settings: " + e.getMessage(), e);
+        }
+        String listen = text(root, "listen", "listen");
+        InetSocketAddress address = converted("listen", listen, ListCodec::address);
+        Path records = file.toAbsolutePath().resolveSibling(text(discovery, "records", "discovery.records"));
+        Name service = converted("discovery.service", text(discovery, "service", "discovery.service"),
+                OperatorFile::name);
+        converted("discovery.records", records, path -> databases(path, service, settings.zoneNames()));
+        Map<String, Contract> contracts = new HashMap<>();
+        TomlTable teams = table(root, "teams");
+        for (String team : teams.keySet()) {
+            contracts.put(team, contract(table(teams, team), "teams." + team + ".", settings.classNames()));
+        }
+        return new OperatorFile(address, (int) number(root, "sockets", "sockets", 1), records, service,
+                number(discovery, "reread_ms", "discovery.reread_ms", 1) * 1_000, contracts, settings);
+    }
+
+    private static Contract contract(TomlTable team, String at, List<String> classNames) {
+        known(team, at, TEAM_KEYS);
+        TomlArray names = typed(at + "classes", () -> team.getArray(List.of("classes")));
+        Set<Integer> classes = new HashSet<>();
+        for (Object name : names == null ? List.of() : names.toList()) {
+            int cls = classNames.indexOf(name);
+            if (cls < 0) {
+                throw new IllegalArgumentException("unusable key " + at + "classes: no class " + name);
+            }
+            classes.add(cls);
+        }
+        return new Contract(classes, number(team, "rate_per_second", at + "rate_per_second", 0),
+                (int) number(team, "outstanding", at + "outstanding", 0),
+                number(team, "deadline_cap_ms", at + "deadline_cap_ms", 0) * 1_000);
+    }
+
+    private static List<?> databases(Path path, Name service, List<String> zones) {
+        try {
+            return DnsSdFile.parse(path, service, zones);
+        } catch (IOException e) {
+            throw new IllegalArgumentException(e.getMessage(), e);
+        }
+    }
+
+    private static Name name(String text) {
+        try {
+            return Name.fromString(text, Name.root);
+        } catch (TextParseException e) {
+            throw new IllegalArgumentException(e.getMessage(), e);
+        }
+    }
+
+    private static void known(TomlTable table, String at, Set<String> keys) {
+        for (String key : table.keySet()) {
+            if (!keys.contains(key)) {
+                throw new IllegalArgumentException("unknown key " + at + key);
+            }
+        }
+    }
+
+    private static TomlTable table(TomlTable in, String key) {
+        TomlTable table = typed(key, () -> in.getTable(List.of(key)));
+        if (table == null) {
+            throw new IllegalArgumentException("missing key " + key);
+        }
+        return table;
+    }
+
+    private static String text(TomlTable in, String key, String path) {
+        String text = typed(path, () -> in.getString(List.of(key)));
+        if (text == null) {
+            throw new IllegalArgumentException("missing key " + path);
+        }
+        return text;
+    }
+
+    /** A whole number that is not below {@code least}; where that is 0, the key may be absent. */
+    private static long number(TomlTable in, String key, String path, long least) {
+        Long number = typed(path, () -> in.getLong(List.of(key)));
+        if (number == null && least > 0) {
+            throw new IllegalArgumentException("missing key " + path);
+        }
+        if (number != null && (number < least || number > Integer.MAX_VALUE)) {
+            throw new IllegalArgumentException("unusable key " + path);
+        }
+        return number == null ? 0 : number;
+    }
+
+    private static <T> T typed(String path, Supplier<T> value) {
+        try {
+            return value.get();
+        } catch (TomlInvalidTypeException e) {
+            throw new IllegalArgumentException("unusable key " + path, e);
+        }
+    }
+
+    private static <T, R> R converted(String path, T from, Function<T, R> conversion) {
+        try {
+            return conversion.apply(from);
+        } catch (IllegalArgumentException e) {
+            throw new IllegalArgumentException("unusable key " + path + ": " + e.getMessage(), e);
+        }
+    }
+}
--- a/src/main/java/crankwick/broker/Broker.java
+++ b/src/main/java/crankwick/broker/Broker.java
@@ -65,7 +65,7 @@
     private List<Effect> effects = new ArrayList<>();
     private long now;
 
-    /** Serves the teams of {@code contracts}; the team "" stands for every caller without its own. */
+    /** Serves the teams of {@code contracts}; a front lets no other in. */
     public Broker(Settings settings, long seed, Map<String, Contract> contracts) {
         this.settings = settings;
         this.contracts = Map.copyOf(contracts);
@@ -112,10 +112,6 @@
     private void onTaken(Call call) {
         counters.countTaken();
         Contract contract = contracts.get(call.team());
-        if (contract == null) {
-            reply(call.ref(), new Reply.Failed(Reply.Reason.UNKNOWN_TEAM));
-            return;
-        }
         Account account = accounts.computeIfAbsent(call.team(), team -> new Account(contract, now));
         Reply objection = objection(account, call);
         if (objection != null) {
@@ -176,7 +172,7 @@
         counters.count(e.result());
         if (e.result() == Result.OK) {
             boolean write = settings.classes().get(life.call.cls()).need() == Need.WRITE;
-            answer(life, new Reply.Served(e.value(), write));
+            answer(life, new Reply.Served(e.value(), write, e.position()));
         }
         toRouter.add(new RouterApi.Outcome(e.ref(), e.attempt(), life.answered, e.result(), e.duration(),
                 life.server, e.role(), e.position(), e.report()));
--- a/src/main/java/crankwick/broker/Reply.java
+++ b/src/main/java/crankwick/broker/Reply.java
@@ -4,11 +4,11 @@
 public sealed interface Reply {
     /** Why a request was refused or failed: each reason has its own number on a wire that has numbers. */
     enum Reason {
-        GIVEN_UP, UNKNOWN_TEAM, CLASS_NOT_ALLOWED, OVER_RATE, OVER_OUTSTANDING, NO_OUTCOME, UNREADABLE
+        GIVEN_UP, CLASS_NOT_ALLOWED, OVER_RATE, OVER_OUTSTANDING, NO_OUTCOME
     }
 
-    /** Served with the value as a database gave it; null is SQL's NULL. */
-    record Served(byte[] value, boolean write) implements Reply {
+    /** Served with the value as a database gave it (null is SQL's NULL), and the position it told. */
+    record Served(byte[] value, boolean write, long position) implements Reply {
     }
 
     /** Refused: nothing ran that matters; {@code retryAfter} in microseconds, 0 for no word on it. */
--- a/src/main/java/crankwick/net/ClientFront.java
+++ b/src/main/java/crankwick/net/ClientFront.java
@@ -138,7 +138,7 @@
         Session session = new Session(connection);
         sessions.put(connection, session);
         if (sessions.size() > maxSessions) {
-            end(session, new FrontReply.Fatal("too many connections", true));
+            end(session, new FrontReply.Fatal(FrontReply.Cause.TOO_MANY, "too many connections"));
         }
     }
 
@@ -156,13 +156,13 @@
                 session.team = m.team();
                 add(session, null, new FrontReply.Welcome());
             } else {
-                end(session, new FrontReply.Fatal("unknown team", false));
+                end(session, new FrontReply.Fatal(FrontReply.Cause.UNKNOWN_TEAM, "unknown team"));
             }
         } else if (message instanceof FrontMessage.Attention) {
             onAttention(session);
         } else if (message instanceof FrontMessage.Broken m) {
             LOG.warn("client {}: {}", connection.getPeerAddress(), m.fault());
-            end(session, new FrontReply.Fatal(m.fault(), false));
+            end(session, new FrontReply.Fatal(FrontReply.Cause.BROKEN, m.fault()));
         } else {
             connection.closeSilently();
         }
@@ -170,7 +170,8 @@
 
     private void onQuery(Session session, String text) {
         if (session.slots.size() >= MAX_SLOTS) {
-            end(session, new FrontReply.Fatal("too many commands ahead of their answers", false));
+            end(session, new FrontReply.Fatal(FrontReply.Cause.BROKEN,
+                    "too many commands ahead of their answers"));
             return;
         }
         try {
--- a/src/main/java/crankwick/net/CodecFilter.java
+++ b/src/main/java/crankwick/net/CodecFilter.java
@@ -16,10 +16,10 @@
  */
 public abstract class CodecFilter extends BaseFilter {
     /** What the bytes seen so far mean. */
-    protected enum Progress { INCOMPLETE, SKIPPED, MESSAGE }
+    public enum Progress { INCOMPLETE, SKIPPED, MESSAGE }
 
     /** What is kept of one connection. */
-    protected abstract static class Decoder {
+    public abstract static class Decoder {
         private Object message;
 
         /** Reads on from the buffer's position; on INCOMPLETE the position does not matter. */
--- a/src/main/java/crankwick/net/DatabasePool.java
+++ b/src/main/java/crankwick/net/DatabasePool.java
@@ -129,6 +129,7 @@
             this.job = job;
             connectTimer = runner.loop().after(connectTimeout, () -> {
                 if (!greeted) {
+                    LOG.info("{}: {} in time", server, connection == null ? "no connection" : "no greeting");
                     discard(Result.UNREACHABLE);
                 }
             });
--- a/src/main/java/crankwick/net/FrontReply.java
+++ b/src/main/java/crankwick/net/FrontReply.java
@@ -4,6 +4,9 @@
 
 /** What a client is told, whatever its wire. */
 public sealed interface FrontReply {
+    /** Why a connection ends. */
+    enum Cause { TOO_MANY, UNKNOWN_TEAM, BROKEN }
+
     /** The login is accepted. */
     record Welcome() implements FrontReply {
     }
@@ -25,6 +28,6 @@
     }
 
     /** The connection ends after this. */
-    record Fatal(String fault, boolean tooMany) implements FrontReply {
+    record Fatal(Cause cause, String fault) implements FrontReply {
     }
 }
--- a/src/main/java/crankwick/pg/PgFrontCodec.java
+++ b/src/main/java/crankwick/pg/PgFrontCodec.java
@@ -103,7 +103,11 @@
         } else if (value instanceof FrontReply.Unreadable u) {
             error(out, "ERROR", "42601", u.fault(), null);
         } else if (value instanceof FrontReply.Fatal f) {
-            error(out, "FATAL", f.tooMany() ? "53300" : "08P01", f.fault(), null);
+            error(out, "FATAL", switch (f.cause()) {
+                case TOO_MANY -> "53300";
+                case UNKNOWN_TEAM -> "28000";
+                case BROKEN -> "08P01";
+            }, f.fault(), null);
             return out.toBytes();
         } else {
             out.int32(0).end('R');
@@ -129,11 +133,7 @@
             error(out, "ERROR", "53300", "refused: " + refused.reason(),
                     millis > 0 ? Long.toString(millis) : null);
         } else if (reply instanceof Reply.Failed failed) {
-            String code = switch (failed.reason()) {
-                case UNKNOWN_TEAM -> "28000";
-                case CLASS_NOT_ALLOWED -> "42501";
-                default -> "58000";
-            };
+            String code = failed.reason() == Reply.Reason.CLASS_NOT_ALLOWED ? "42501" : "58000";
             error(out, "ERROR", code, "failed: " + failed.reason(), null);
         }
     }
--- /dev/null
+++ b/src/main/java/crankwick/tds/TdsDatabaseCodec.java
@@ -0,0 +1,181 @@
+package crankwick.tds;
+
+import crankwick.RouterApi;
+import crankwick.RouterApi.Report;
+import crankwick.RouterApi.Result;
+import crankwick.RouterApi.Role;
+import crankwick.net.CodecFilter;
+import crankwick.net.DatabaseCommand;
+import crankwick.net.DatabaseMessage;
+import crankwick.net.ReportCodec;
+import java.io.ByteArrayOutputStream;
+import java.nio.ByteBuffer;
+import org.glassfish.grizzly.filterchain.FilterChainContext;
+
+/** The database's side of TDS: roles, positions and reports come as INFO facts. */
+public final class TdsDatabaseCodec extends CodecFilter {
+    private static final String USER = "crankwick";
+    /** LOGIN7's fixed part; pairs of offset and length stand in it up to 72, the second is the user's. */
+    private static final int LOGIN_FIXED = 94;
+    private static final int LOGIN_PAIRS = 9;
+    private static final int LOGIN_PAIRS_END = 72;
+    private static final int FATAL_SEVERITY = 20;
+    private static final int DONE_PROC = 0xFE;
+    private static final int DONE_IN_PROC = 0xFF;
+    private static final int DONE_BODY = 12;
+    private static final int RETURN_STATUS = 0x79;
+
+    @Override
+    protected Decoder newDecoder() {
+        return new DatabaseDecoder();
+    }
+
+    private static final class DatabaseDecoder extends TdsDecoder {
+        private boolean preloggedIn;
+        private boolean greeted;
+        private boolean loginAck;
+        private int error;
+        private boolean fatal;
+        private int maxLength;
+        private byte[] value;
+        private Role role = Role.UNKNOWN;
+        private long position = RouterApi.NONE;
+        private Report report;
+
+        @Override
+        protected Progress take(int type, ByteBuffer body, FilterChainContext context) {
+            if (type != Tds.RESPONSE) {
+                throw new IllegalArgumentException("not a response");
+            }
+            if (!preloggedIn) {
+                preloggedIn = true;
+                answer(context, login());
+                return Progress.SKIPPED;
+            }
+            while (body.hasRemaining()) {
+                token(body.get() & 0xFF, body);
+            }
+            if (!greeted && loginAck && error == 0) {
+                greeted = true;
+                clear();
+                return message(new DatabaseMessage.Greeted());
+            }
+            Result result = error == 0 ? Result.OK : result(error);
+            var answer = new DatabaseMessage.Answered(result, role, position, report, value,
+                    fatal || !greeted);
+            clear();
+            return message(answer);
+        }
+
+        private void token(int type, ByteBuffer body) {
+            switch (type) {
+                case Tds.COLMETADATA -> columns(body);
+                case Tds.ROW -> value = row(body);
+                case Tds.DONE, DONE_PROC, DONE_IN_PROC -> body.position(body.position() + DONE_BODY);
+                case RETURN_STATUS -> body.getInt();
+                case Tds.ERROR, Tds.INFO, Tds.LOGINACK, Tds.ENVCHANGE -> {
+                    int length = body.getShort() & 0xFFFF;
+                    ByteBuffer token = body.slice(body.position(), length).order(body.order());
+                    body.position(body.position() + length);
+                    loginAck |= type == Tds.LOGINACK;
+                    if (type == Tds.ERROR || type == Tds.INFO) {
+                        word(type, token);
+                    }
+                }
+                default -> throw new IllegalArgumentException("unknown token " + type);
+            }
+        }
+
+        private void word(int type, ByteBuffer token) {
+            int number = token.getInt();
+            token.get();
+            int severity = token.get();
+            String text = text(token, token.getShort() & 0xFFFF);
+            if (type == Tds.ERROR) {
+                error = number;
+                fatal |= severity >= FATAL_SEVERITY;
+            } else if (number == Tds.FACT) {
+                int equals = text.indexOf('=');
+                String content = text.substring(equals + 1);
+                switch (text.substring(0, Math.max(0, equals))) {
+                    case "mode" -> role = ReportCodec.role(content);
+                    case "wal_time" -> position = ReportCodec.position(content);
+                    case "stats" -> report = ReportCodec.parse(content);
+                    default -> { }
+                }
+            }
+        }
+
+        private void columns(ByteBuffer body) {
+            if (body.getShort() != 1) {
+                throw new IllegalArgumentException("not one column");
+            }
+            body.getInt();
+            body.getShort();
+            if ((body.get() & 0xFF) != Tds.VARBINARY) {
+                throw new IllegalArgumentException("not a varbinary");
+            }
+            maxLength = body.getShort() & 0xFFFF;
+            text(body, body.get() & 0xFF);
+        }
+
+        private byte[] row(ByteBuffer body) {
+            if (maxLength != Tds.MAX) {
+                int length = body.getShort() & 0xFFFF;
+                return length == Tds.MAX ? null : bytes(body, length);
+            }
+            if (body.getLong() == -1) {
+                return null;
+            }
+            ByteArrayOutputStream whole = new ByteArrayOutputStream();
+            for (int chunk = body.getInt(); chunk != 0; chunk = body.getInt()) {
+                whole.writeBytes(bytes(body, chunk));
+            }
+            return whole.toByteArray();
+        }
+
+        private void clear() {
+            error = 0;
+            fatal = false;
+            value = null;
+            role = Role.UNKNOWN;
+            position = RouterApi.NONE;
+            report = null;
+        }
+
+        @Override
+        protected Object brokenBy(String fault) {
+            return new DatabaseMessage.Broken(fault);
+        }
+
+        private static Result result(int number) {
+            return switch (number) {
+                case Tds.READ_ONLY, Tds.BEHIND -> Result.MISS;
+                case Tds.TURNED_AWAY, Tds.TOO_MANY -> Result.FULL;
+                default -> Result.ERROR;
+            };
+        }
+    }
+
+    /** LOGIN7 with a user and no more. */
+    private static byte[] login() {
+        int end = LOGIN_FIXED + 2 * USER.length();
+        TdsWriter out = new TdsWriter().int32(end).int32(Tds.VERSION).int32(Tds.PACKET_SIZE)
+                .int32(0).int32(0).int32(0).int32(0).int32(0).int32(0);
+        for (int pair = 0; pair < LOGIN_PAIRS; pair++) {
+            out.int16(pair <= 1 ? LOGIN_FIXED : end).int16(pair == 1 ? USER.length() : 0);
+        }
+        return out.bytes(new byte[LOGIN_FIXED - LOGIN_PAIRS_END]).text(USER).packets(Tds.LOGIN7);
+    }
+
+    @Override
+    protected byte[] encode(Object value) {
+        if (value instanceof DatabaseCommand.Hello) {
+            return new TdsWriter().bytes(Tds.PRELOGIN_BODY).packets(Tds.PRELOGIN);
+        }
+        String text = value instanceof DatabaseCommand.Run run ? run.text() : Tds.ASK_REPORT;
+        // ALL_HEADERS with the transaction descriptor that every batch must have: no transaction.
+        return new TdsWriter().int32(22).int32(18).int16(2).int64(0).int32(1).text(text)
+                .packets(Tds.SQL_BATCH);
+    }
+}
--- /dev/null
+++ b/src/main/java/crankwick/tds/TdsFrontCodec.java
@@ -0,0 +1,127 @@
+package crankwick.tds;
+
+import crankwick.RouterApi;
+import crankwick.broker.Reply;
+import crankwick.net.CodecFilter;
+import crankwick.net.FrontMessage;
+import crankwick.net.FrontReply;
+import java.nio.ByteBuffer;
+import org.glassfish.grizzly.filterchain.FilterChainContext;
+
+/** The client's side of TDS: no encryption, SQL batches, attentions; the login's user names the team. */
+public final class TdsFrontCodec extends CodecFilter {
+    private static final int LOGIN_USER = 40;
+    private static final int ERROR_SEVERITY = 16;
+    private static final int FATAL_SEVERITY = 20;
+    private static final int CHUNKS_END = 0;
+
+    @Override
+    protected Decoder newDecoder() {
+        return new FrontDecoder();
+    }
+
+    private static final class FrontDecoder extends TdsDecoder {
+        private boolean loggedIn;
+
+        @Override
+        protected Progress take(int type, ByteBuffer body, FilterChainContext context) {
+            if (type == Tds.PRELOGIN && !loggedIn) {
+                answer(context, new TdsWriter().bytes(Tds.PRELOGIN_BODY).packets(Tds.RESPONSE));
+                return Progress.SKIPPED;
+            }
+            if (type == Tds.LOGIN7 && !loggedIn) {
+                loggedIn = true;
+                int from = body.getShort(LOGIN_USER) & 0xFFFF;
+                int chars = body.getShort(LOGIN_USER + 2) & 0xFFFF;
+                return message(new FrontMessage.Login(text(body.position(from), chars)));
+            }
+            if (type == Tds.SQL_BATCH && loggedIn) {
+                body.position(body.getInt());
+                String text = text(body, body.remaining() / 2);
+                return message(text.isBlank() ? new FrontMessage.Empty() : new FrontMessage.Query(text));
+            }
+            if (type == Tds.ATTENTION && loggedIn) {
+                return message(new FrontMessage.Attention());
+            }
+            throw new IllegalArgumentException("not expected here");
+        }
+
+        @Override
+        protected Object brokenBy(String fault) {
+            return new FrontMessage.Broken(fault);
+        }
+    }
+
+    @Override
+    protected byte[] encode(Object value) {
+        TdsWriter out = new TdsWriter();
+        if (value instanceof FrontReply.Final f) {
+            answer(out, f.reply());
+        } else if (value instanceof FrontReply.Nothing) {
+            out.done(0, 0);
+        } else if (value instanceof FrontReply.AttentionHeard) {
+            out.done(Tds.DONE_ATTENTION, 0);
+        } else if (value instanceof FrontReply.Unreadable u) {
+            error(out, Tds.UNREADABLE, u.fault());
+        } else if (value instanceof FrontReply.Fatal f) {
+            int number = switch (f.cause()) {
+                case TOO_MANY -> Tds.TOO_MANY;
+                case UNKNOWN_TEAM -> Tds.LOGIN_FAILED;
+                case BROKEN -> Tds.BROKEN;
+            };
+            out.message(Tds.ERROR, number, FATAL_SEVERITY, f.fault()).done(Tds.DONE_ERROR, 0);
+        } else {
+            String size = Integer.toString(Tds.PACKET_SIZE);
+            out.token(Tds.ENVCHANGE, new TdsWriter().int8(1).shortText("core").shortText(""));
+            out.token(Tds.ENVCHANGE, new TdsWriter().int8(4).shortText(size).shortText(size));
+            out.token(Tds.LOGINACK, new TdsWriter().int8(1).int32(Integer.reverseBytes(Tds.VERSION))
+                    .shortText("crankwick").int32(0));
+            out.done(0, 0);
+        }
+        return out.packets(Tds.RESPONSE);
+    }
+
+    private static void answer(TdsWriter out, Reply reply) {
+        if (reply instanceof Reply.Served served) {
+            if (served.position() != RouterApi.NONE) {
+                long millis = Math.floorDiv(served.position() + 999, 1_000L);
+                out.message(Tds.INFO, Tds.FACT, 0, "wal_time=" + millis);
+            }
+            out.int8(Tds.COLMETADATA).int16(1).int32(0).int16(1).int8(Tds.VARBINARY).int16(Tds.MAX)
+                    .shortText("val");
+            out.int8(Tds.ROW);
+            value(out, served.value());
+            out.done(Tds.DONE_COUNT, 1);
+        } else if (reply instanceof Reply.Refused refused) {
+            if (refused.retryAfter() > 0) {
+                out.message(Tds.INFO, Tds.FACT, 0, "retry_after=" + (refused.retryAfter() + 999) / 1_000);
+            }
+            error(out, switch (refused.reason()) {
+                case OVER_RATE -> Tds.REFUSED_OVER_RATE;
+                case OVER_OUTSTANDING -> Tds.REFUSED_OVER_OUTSTANDING;
+                default -> Tds.REFUSED_GIVEN_UP;
+            }, "refused: " + refused.reason());
+        } else if (reply instanceof Reply.Failed failed) {
+            error(out, switch (failed.reason()) {
+                case CLASS_NOT_ALLOWED -> Tds.FAILED_CLASS;
+                case GIVEN_UP -> Tds.FAILED_GIVEN_UP;
+                default -> Tds.FAILED_NO_OUTCOME;
+            }, "failed: " + failed.reason());
+        }
+    }
+
+    /** A value in chunks: its length (-1 for NULL), at most one chunk, the end. */
+    private static void value(TdsWriter out, byte[] value) {
+        out.int64(value == null ? -1 : value.length);
+        if (value != null) {
+            if (value.length > 0) {
+                out.int32(value.length).bytes(value);
+            }
+            out.int32(CHUNKS_END);
+        }
+    }
+
+    private static void error(TdsWriter out, int number, String text) {
+        out.message(Tds.ERROR, number, ERROR_SEVERITY, text).done(Tds.DONE_ERROR, 0);
+    }
+}
--- /dev/null
+++ b/src/main/java/crankwick/tds/TdsWriter.java
@@ -0,0 +1,81 @@
+package crankwick.tds;
+
+import java.io.ByteArrayOutputStream;
+import java.nio.charset.StandardCharsets;
+
+/** Builds a TDS message: little-endian fields and tokens, then packets with their headers. */
+final class TdsWriter {
+    private final ByteArrayOutputStream out = new ByteArrayOutputStream(256);
+
+    TdsWriter int8(int value) {
+        out.write(value);
+        return this;
+    }
+
+    TdsWriter int16(int value) {
+        return int8(value).int8(value >> 8);
+    }
+
+    TdsWriter int32(int value) {
+        return int16(value).int16(value >> 16);
+    }
+
+    TdsWriter int64(long value) {
+        return int32((int) value).int32((int) (value >> 32));
+    }
+
+    TdsWriter bytes(byte[] value) {
+        out.writeBytes(value);
+        return this;
+    }
+
+    /** Text in UTF-16, without its length. */
+    TdsWriter text(String value) {
+        return bytes(value.getBytes(StandardCharsets.UTF_16LE));
+    }
+
+    /** Text with its length in a byte. */
+    TdsWriter shortText(String value) {
+        return int8(value.length()).text(value);
+    }
+
+    /** A token whose body has its length before it. */
+    TdsWriter token(int type, TdsWriter body) {
+        byte[] bytes = body.out.toByteArray();
+        return int8(type).int16(bytes.length).bytes(bytes);
+    }
+
+    /** ERROR or INFO. */
+    TdsWriter message(int token, int number, int severity, String text) {
+        return token(token, new TdsWriter().int32(number).int8(1).int8(severity).int16(text.length())
+                .text(text).shortText("crankwick").shortText("").int32(1));
+    }
+
+    /** DONE. */
+    TdsWriter done(int status, long rows) {
+        return int8(Tds.DONE).int16(status).int16(0).int64(rows);
+    }
+
+    /** The message in packets of the type. */
+    byte[] packets(int type) {
+        byte[] body = out.toByteArray();
+        ByteArrayOutputStream packets = new ByteArrayOutputStream(body.length + 64);
+        int from = 0;
+        int number = 1;
+        do {
+            int length = Math.min(body.length - from, Tds.PACKET_SIZE - Tds.HEADER);
+            int total = length + Tds.HEADER;
+            packets.write(type);
+            packets.write(from + length == body.length ? Tds.LAST : 0);
+            packets.write(total >> 8);
+            packets.write(total);
+            packets.write(0);
+            packets.write(0);
+            packets.write(number++);
+            packets.write(0);
+            packets.write(body, from, length);
+            from += length;
+        } while (from < body.length);
+        return packets.toByteArray();
+    }
+}
--- /dev/null
+++ b/src/test/java/crankwick/app/Deployment.java
@@ -0,0 +1,225 @@
+package crankwick.app;
+
+import com.sun.net.httpserver.HttpExchange;
+import com.sun.net.httpserver.HttpServer;
+import java.io.BufferedReader;
+import java.io.DataInputStream;
+import java.io.IOException;
+import java.io.InputStreamReader;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.StandardCopyOption;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.Executors;
+import java.util.concurrent.TimeUnit;
+import org.tomlj.Toml;
+
+/** The real program as a process, a group of three databases, and the list that names them. */
+final class Deployment implements AutoCloseable {
+    private static final Path OPERATOR_FILE = Path.of("deploy/tds.toml");
+
+    /** A client connection. */
+    final class Client implements AutoCloseable {
+        final Socket socket;
+        final DataInputStream in;
+
+        Client(String team) throws IOException {
+            socket = connect();
+            wire.login(socket, team);
+            in = new DataInputStream(socket.getInputStream());
+        }
+
+        void send(String statement) throws IOException {
+            wire.ask(socket, statement);
+        }
+
+        Wire.Answer answer() throws IOException {
+            return wire.answer(in);
+        }
+
+        Wire.Answer ask(String statement) throws IOException {
+            send(statement);
+            return answer();
+        }
+
+        @Override
+        public void close() throws IOException {
+            socket.close();
+        }
+    }
+
+    final Wire wire;
+    final StandIn.Ledger ledger = new StandIn.Ledger();
+    final List<StandIn> databases = new ArrayList<>();
+    final List<String> log = new CopyOnWriteArrayList<>();
+    final Process process;
+    /** Fills the log; ends when the program has. */
+    Thread reader;
+    private final Path folder = Files.createTempDirectory("crankwick");
+    private final Map<String, String> states = new LinkedHashMap<>();
+    private final HttpServer discovery;
+    private final int port;
+    private int version = 1;
+
+    Deployment(Wire wire) throws IOException, InterruptedException {
+        this.wire = wire;
+        for (String name : List.of("s-a", "s-b", "s-c")) {
+            databases.add(new StandIn(name, name.equals("s-a") ? "read-write" : "read-only", wire, ledger));
+            states.put(name, "up");
+        }
+        discovery = HttpServer.create(new InetSocketAddress("127.0.0.1", 0), 0);
+        discovery.setExecutor(Executors.newCachedThreadPool());
+        discovery.createContext("/discovery/hosts", this::list);
+        discovery.start();
+        writeZone();
+        boolean pg = wire instanceof PgWire;
+        Path config = folder.resolve("config");
+        Files.writeString(config, pg ? platformConfig() : operatorFile());
+        process = start(pg ? config : null, pg ? null : config);
+        port = awaitPort();
+        try (Client client = client()) {
+            client.ask("");
+        }
+    }
+
+    /** Starts the built program; either configuration may be null. */
+    static Process start(Path platform, Path operator) throws IOException {
+        List<String> command = new ArrayList<>(List.of(
+                Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-XX:+UseSerialGC",
+                "-XX:TieredStopAtLevel=1", "-Xmx64m"));
+        command.addAll(List.of(System.getProperty("crankwick.jvm", "").split(" ")));
+        command.removeIf(String::isEmpty);
+        command.addAll(List.of("-jar", "target/crankwick.jar", "serve"));
+        if (operator != null) {
+            command.add(operator.toString());
+        }
+        ProcessBuilder builder = new ProcessBuilder(command).redirectErrorStream(true);
+        if (platform != null) {
+            builder.environment().put("ROUTER_CONFIG", platform.toString());
+        }
+        return builder.start();
+    }
+
+    private int awaitPort() throws IOException, InterruptedException {
+        reader = new Thread(() -> new BufferedReader(new InputStreamReader(process.getInputStream(),
+                StandardCharsets.UTF_8)).lines().forEach(log::add));
+        reader.setDaemon(true);
+        reader.start();
+        for (int i = 0; i < 1_500; i++) {
+            for (String line : log) {
+                if (line.contains("listening on")) {
+                    return Integer.parseInt(line.replaceAll(".*:", ""));
+                }
+            }
+            Thread.sleep(20);
+        }
+        throw new IOException("not listening: " + log);
+    }
+
+    private String platformConfig() throws IOException {
+        String settings = Toml.parse(OPERATOR_FILE).getTable("settings").toJson();
+        return "{\"name\":\"n0\",\"listen\":\"127.0.0.1:0\",\"discovery\":\"127.0.0.1:"
+                + discovery.getAddress().getPort() + "\",\"seed\":\"8c1f30d27a5be964\","
+                + "\"limits\":{\"sockets\":512},\"known\":" + json(0) + ",\"settings\":" + settings + "}";
+    }
+
+    private String operatorFile() throws IOException {
+        return Files.readString(OPERATOR_FILE).replace("127.0.0.1:1433", "127.0.0.1:0");
+    }
+
+    private void list(HttpExchange exchange) throws IOException {
+        String query = exchange.getRequestURI().getQuery();
+        int from = query == null ? 0 : Integer.parseInt(query.replaceAll("from=(\\d+).*", "$1"));
+        byte[] body;
+        synchronized (states) {
+            for (int i = 0; i < 200 && from >= version; i++) {
+                try {
+                    states.wait(50);
+                } catch (InterruptedException e) {
+                    Thread.currentThread().interrupt();
+                }
+            }
+            body = json(from).getBytes(StandardCharsets.UTF_8);
+        }
+        exchange.sendResponseHeaders(200, body.length);
+        exchange.getResponseBody().write(body);
+        exchange.close();
+    }
+
+    private String json(int from) {
+        List<String> entries = new ArrayList<>();
+        for (StandIn d : databases) {
+            entries.add("{\"id\":\"" + d.name + "\",\"addr\":\"127.0.0.1:" + d.listener.getLocalPort()
+                    + "\",\"zone\":\"ulemiste\",\"cell\":0,\"state\":\"" + states.get(d.name)
+                    + "\",\"mode\":\"" + d.mode + "\",\"started_ms\":0}");
+        }
+        return "{\"version\":" + version + ",\"full\":" + (from == 0) + ",\"servers\":["
+                + String.join(",", entries) + "]}";
+    }
+
+    private void writeZone() throws IOException {
+        StringBuilder zone = new StringBuilder("$TTL 5\ndb.stations.example. IN A 127.0.0.1\n");
+        for (StandIn d : databases) {
+            zone.append("@ IN PTR ").append(d.name).append("._tds._tcp.stations.example.\n").append(d.name)
+                    .append(" IN SRV 0 0 ").append(d.listener.getLocalPort())
+                    .append(" db.stations.example.\n").append(d.name).append(" IN TXT zone=ulemiste cell=0 mode=").append(d.mode)
+                    .append(" state=").append(states.get(d.name)).append('\n');
+        }
+        Path whole = Files.writeString(folder.resolve("new.zone"), zone);
+        Files.move(whole, folder.resolve("stations.zone"), StandardCopyOption.REPLACE_EXISTING,
+                StandardCopyOption.ATOMIC_MOVE);
+    }
+
+    /** Changes the list, and gives the program time to hear of it. */
+    void list(StandIn database, String state) throws IOException, InterruptedException {
+        synchronized (states) {
+            states.put(database.name, state);
+            version++;
+            states.notifyAll();
+        }
+        writeZone();
+        Thread.sleep(1_000);
+    }
+
+    Socket connect() throws IOException {
+        Socket socket = new Socket("127.0.0.1", port);
+        socket.setTcpNoDelay(true);
+        socket.setSoTimeout(30_000);
+        return socket;
+    }
+
+    Client client() throws IOException {
+        return new Client("collectors");
+    }
+
+    StandIn primary() {
+        return databases.get(0);
+    }
+
+    List<StandIn> replicas() {
+        return databases.subList(1, 3);
+    }
+
+    @Override
+    public void close() throws IOException {
+        process.destroy();
+        try {
+            if (!process.waitFor(20, TimeUnit.SECONDS)) {
+                process.destroyForcibly();
+            }
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+        discovery.stop(0);
+        for (StandIn database : databases) {
+            database.close();
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/crankwick/app/FrontsIT.java
@@ -0,0 +1,129 @@
+package crankwick.app;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertThrows;
+import static org.testng.Assert.assertTrue;
+
+import java.io.EOFException;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.StandardCopyOption;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/** What only one of the fronts has. */
+public class FrontsIT {
+    private static String statement(String id, String cls) {
+        return "/* id=" + id + ",c=" + cls + ",d=2000,k=1,cluster=0 */ SELECT val FROM state";
+    }
+
+    /** Guards against answers that overtake each other: the write is slow, the read behind it is not. */
+    @Test
+    public void pgAnswersKeepTheCommandsOrder() throws Exception {
+        try (Deployment d = new Deployment(new PgWire()); Deployment.Client client = d.client()) {
+            d.primary().delayMs = 300;
+            client.send(statement("1", "reserve"));
+            client.send(statement("2", "map-view"));
+            client.send("");
+            assertEquals(client.answer().value(), "s-a:1");
+            assertTrue(client.answer().value().endsWith(":2"));
+            assertEquals(client.answer().kind(), "EMPTY");
+            assertEquals(d.ledger.at("s-a").size(), 1);
+        }
+    }
+
+    @Test
+    public void pgTakesByteByByteWhatFollowsARefusedEncryption() throws Exception {
+        PgWire wire = new PgWire();
+        try (Deployment d = new Deployment(wire); Socket socket = d.connect()) {
+            socket.getOutputStream().write(new byte[] {0, 0, 0, 8, 4, (byte) 0xD2, 22, 47});
+            assertEquals(socket.getInputStream().read(), 'N');
+            wire.login(socket, "");
+            byte[] text = (statement("1", "map-view") + "\0").getBytes(StandardCharsets.US_ASCII);
+            socket.getOutputStream().write(new byte[] {'Q', 0, 0, 0, (byte) (text.length + 4)});
+            for (byte b : text) {
+                socket.getOutputStream().write(b);
+                Thread.sleep(1);
+            }
+            assertEquals(wire.answer(new java.io.DataInputStream(socket.getInputStream())).kind(), "SERVED");
+        }
+    }
+
+    @Test
+    public void tdsTeamsKeepToTheirContracts() throws Exception {
+        TdsWire wire = new TdsWire();
+        try (Deployment d = new Deployment(wire); Deployment.Client reports = d.new Client("reports");
+                Deployment.Client more = d.new Client("reports");
+                Deployment.Client third = d.new Client("reports");
+                Deployment.Client collectors = d.client()) {
+            assertThrows(EOFException.class, () -> d.new Client("strangers"));
+            assertEquals(reports.ask(statement("1", "reserve")).code(), "50203");
+            d.databases.forEach(database -> database.delayMs = 3_000);
+            reports.send(statement("2", "map-view"));
+            more.send(statement("3", "map-view"));
+            Thread.sleep(100);
+            Wire.Answer over = third.ask(statement("4", "map-view"));
+            assertEquals(over.code(), "50103", over.toString());
+            assertTrue(over.retryAfter() > 0, over.toString());
+            // Their deadline is capped at 400 ms, though they would wait longer.
+            long start = System.nanoTime();
+            assertTrue(reports.answer().kind().matches("REFUSED|FAILED"));
+            assertTrue(more.answer().kind().matches("REFUSED|FAILED"));
+            assertTrue(System.nanoTime() - start < 1_500_000_000L);
+            d.databases.forEach(database -> database.delayMs = 0);
+            Wire.Answer last = null;
+            for (int i = 5; i < 60 && (last == null || !last.code().equals("50102")); i++) {
+                last = third.ask(statement("" + i, "map-view"));
+            }
+            assertEquals(last.code(), "50102");
+            assertTrue(last.retryAfter() > 0 && last.retryAfter() <= 200, last.toString());
+            assertEquals(collectors.ask(statement("60", "reserve")).kind(), "SERVED");
+        }
+    }
+
+    /** Guards against the withdrawn request's answer coming after the attention's. */
+    @Test
+    public void tdsAttentionWithdrawsTheBatch() throws Exception {
+        TdsWire wire = new TdsWire();
+        try (Deployment d = new Deployment(wire); Deployment.Client client = d.client()) {
+            d.primary().delayMs = 500;
+            client.send(statement("1", "reserve"));
+            Thread.sleep(100);
+            wire.attention(client.socket);
+            assertEquals(client.answer().kind(), "ATTENTION");
+            assertEquals(client.ask(statement("2", "reserve")).value(), "s-a:2");
+        }
+    }
+
+    /** Mistakes in the operator's file and the key that the one line must name. */
+    @DataProvider
+    public Object[][] mistakes() {
+        return new Object[][] {{"listen = ", "listne = ", "listne"},
+            {"sockets = 512", "sockets = 'x'", "sockets"}, {"sockets = 512", "", "sockets"},
+            {"service = \"_tds", "service = \"..", "discovery.service"},
+            {"stations.zone", "none.zone", "discovery.records"},
+            {"[\"map-view\"]", "[\"no\"]", "teams.reports.classes"},
+            {"outstanding = 2", "outstanding = -2", "teams.reports.outstanding"},
+            {"drain-grace-ms = 2000.0", "", "rules.drain-grace-ms"}, {"127.0.0.1:1433", "nowhere", "listen"},
+            {"repeat = \"keyed\"", "repeat = \"often\"", "classes[3].repeat"},
+            {"[teams", "[steams", "steams"}};
+    }
+
+    @Test(dataProvider = "mistakes")
+    public void mistakeInTheOperatorsFileStopsTheStart(String right, String wrong, String key)
+            throws Exception {
+        Path folder = Files.createTempDirectory("crankwick");
+        Files.copy(Path.of("deploy/stations.zone"), folder.resolve("stations.zone"),
+                StandardCopyOption.REPLACE_EXISTING);
+        String text = Files.readString(Path.of("deploy/tds.toml"));
+        assertTrue(text.contains(right));
+        Process process = Deployment.start(null, Files.writeString(folder.resolve("tds.toml"),
+                text.replace(right, wrong)));
+        String output = new String(process.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
+        assertEquals(process.waitFor(), 2, output);
+        assertEquals(output.lines().count(), 1, output);
+        assertTrue(output.contains(key), output);
+    }
+}
--- /dev/null
+++ b/src/test/java/crankwick/app/PgWire.java
@@ -0,0 +1,123 @@
+package crankwick.app;
+
+import java.io.ByteArrayOutputStream;
+import java.io.DataInputStream;
+import java.io.DataOutputStream;
+import java.io.EOFException;
+import java.io.IOException;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.HashMap;
+import java.util.Map;
+
+/** PostgreSQL's protocol, written for the tests alone so that it does not share the program's mistakes. */
+final class PgWire implements Wire {
+    private static final Map<String, String> CODES =
+            Map.of("MISS", "72000", "FULL", "53300", "ERROR", "XX000");
+
+    private static byte[] message(char type, String text) {
+        byte[] body = text.getBytes(StandardCharsets.ISO_8859_1);
+        ByteArrayOutputStream out = new ByteArrayOutputStream();
+        if (type != 0) {
+            out.write(type);
+        }
+        out.write(0);
+        out.write(0);
+        out.write(body.length + 4 >> 8);
+        out.write(body.length + 4);
+        out.writeBytes(body);
+        return out.toByteArray();
+    }
+
+    @Override
+    public void login(Socket socket, String team) throws IOException {
+        socket.getOutputStream().write(message((char) 0, "\0\3\0\0user\0client\0database\0core\0\0"));
+        DataInputStream in = new DataInputStream(socket.getInputStream());
+        while (in.readByte() != 'Z') {
+            in.skipNBytes(in.readInt() - 4);
+        }
+        in.skipNBytes(5);
+    }
+
+    @Override
+    public void ask(Socket socket, String statement) throws IOException {
+        socket.getOutputStream().write(message('Q', statement + "\0"));
+    }
+
+    @Override
+    public Answer answer(DataInputStream in) throws IOException {
+        Answer answer = Answer.CLOSED;
+        try {
+            while (true) {
+                char type = (char) in.readByte();
+                byte[] body = in.readNBytes(in.readInt() - 4);
+                String text = new String(body, StandardCharsets.ISO_8859_1);
+                if (type == 'D') {
+                    answer = new Answer("SERVED", "", text.substring(6), 0);
+                } else if (type == 'I') {
+                    answer = new Answer("EMPTY", "", null, 0);
+                } else if (type == 'E') {
+                    Map<Character, String> fields = new HashMap<>();
+                    for (String field : text.split("\0")) {
+                        fields.put(field.charAt(0), field.substring(1));
+                    }
+                    String code = fields.get('C');
+                    answer = new Answer(code.equals("53300") ? "REFUSED" : "FAILED", code, null,
+                            Long.parseLong(fields.getOrDefault('D', "0")));
+                } else if (type == 'Z') {
+                    return answer;
+                }
+            }
+        } catch (EOFException e) {
+            return Answer.CLOSED;
+        }
+    }
+
+    @Override
+    public void greet(Socket socket, DataInputStream in) throws IOException {
+        in.skipNBytes(in.readInt() - 4);
+        socket.getOutputStream().write(message('R', "\0\0\0\0"));
+        socket.getOutputStream().write(message('Z', "I"));
+    }
+
+    @Override
+    public String statement(DataInputStream in) throws IOException {
+        int type = in.read();
+        if (type != 'Q') {
+            return null;
+        }
+        byte[] body = in.readNBytes(in.readInt() - 4);
+        return new String(body, 0, body.length - 1, StandardCharsets.ISO_8859_1);
+    }
+
+    @Override
+    public boolean isProbe(String statement) {
+        return statement.equals("SHOW stats");
+    }
+
+    @Override
+    public void reply(Socket socket, Verdict verdict, boolean probe) throws IOException {
+        DataOutputStream out = new DataOutputStream(socket.getOutputStream());
+        long now = verdict.position();
+        String stats = "x0=" + now / 1e3 + ",x1=" + (verdict.mode().equals("read-write") ? 1 : 0);
+        if (probe || verdict.word().equals("VALUE")) {
+            String value = probe ? stats : verdict.value();
+            out.write(message('T', "\0\1" + (probe ? "stats" : "val") + "\0" + "\0".repeat(18)));
+            out.write(message('D', "\0\1\0\0\0" + (char) value.length() + value));
+            out.write(message('C', "SELECT 1\0"));
+        } else {
+            out.write(message('E', "SERROR\0C" + CODES.get(verdict.word()) + "\0Mno\0\0"));
+        }
+        out.write(message('S', "mode\0" + verdict.mode() + "\0"));
+        out.write(message('S', "wal_time\0" + now + "\0"));
+        out.write(message('S', "stats\0" + stats + "\0"));
+        out.write(message('Z', "I"));
+    }
+
+    @Override
+    public byte[][] nonsense() {
+        return new byte[][] {"GET / HTTP/1.1\r\n\r\n".getBytes(StandardCharsets.US_ASCII),
+            {0, 0, 0, 1}, message((char) 0, "\0\2\0\0"), {'Q', 127, 127, 127, 127, 0},
+            message('P', "\0\0\0\0"), message('Q', "no end"), message('Q', "")};
+    }
+}
--- /dev/null
+++ b/src/test/java/crankwick/app/RulesIT.java
@@ -0,0 +1,284 @@
+package crankwick.app;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.io.IOException;
+import java.net.Socket;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/** The rules on sockets, the same checks on both wires. */
+public class RulesIT {
+    private int ids;
+
+    /** Both wires. */
+    @DataProvider
+    public Object[][] wires() {
+        return new Object[][] {{new PgWire()}, {new TdsWire()}};
+    }
+
+    private String statement(String cls, int wait, String more) {
+        String key = cls.equals("reserve") ? ",k=5c0f6e1a2b3d4c59" : "";
+        return "/* id=" + ++ids + ",c=" + cls + ",d=" + wait + key + ",cluster=0" + more
+                + " */ SELECT val FROM state WHERE uid = '7f3a9c21e0b4d655'";
+    }
+
+    private String id() {
+        return Integer.toString(ids);
+    }
+
+    private void served(Wire.Answer answer, String server) {
+        assertEquals(answer.value(), server + ":" + id(), answer.toString());
+    }
+
+    private static void kept(Deployment d) {
+        assertEquals(d.ledger.broken, List.of());
+        assertTrue(d.log.stream().noneMatch(line -> line.contains("ERROR")), d.log.toString());
+    }
+
+    @Test(dataProvider = "wires")
+    public void readsGoToReplicasAndWritesToThePrimary(Wire wire) throws Exception {
+        try (Deployment d = new Deployment(wire); Deployment.Client client = d.client()) {
+            for (int i = 0; i < 10; i++) {
+                Wire.Answer read = client.ask(statement("map-view", 1000, ""));
+                assertEquals(read.kind(), "SERVED", read.toString());
+                assertTrue(read.value().matches("s-[bc]:" + id()), read.value());
+                assertEquals(client.ask(statement("reserve", 3000, "")).value(), "s-a:" + id());
+            }
+            // The text passes on unchanged but for the time that the proxy itself will wait.
+            String sent = d.ledger.at("s-a").get(0).statement();
+            assertTrue(sent.matches("/\\* id=\\d+,c=reserve,d=[123]\\d\\d\\d,k=5c0f6e1a2b3d4c59,cluster=0 "
+                    + "\\*/ SELECT val FROM state WHERE uid = '7f3a9c21e0b4d655'"), sent);
+            assertEquals(d.ledger.seen.size(), 20);
+            kept(d);
+        }
+    }
+
+    /** Guards against a miss that is taken for an answer, and against both replicas being asked at once. */
+    @Test(dataProvider = "wires")
+    public void missedReadGoesToAnotherReplica(Wire wire) throws Exception {
+        try (Deployment d = new Deployment(wire); Deployment.Client client = d.client()) {
+            d.replicas().get(0).word = "MISS";
+            for (int i = 0; i < 5; i++) {
+                served(client.ask(statement("map-view", 1000, "")), "s-c");
+            }
+            kept(d);
+        }
+    }
+
+    /** Guards against a keyed write that may have run being repeated after its key has lapsed, or refused. */
+    @Test(dataProvider = "wires")
+    public void keyedWriteThatMayHaveRunIsRepeatedWithinItsKeyAndNeverRefused(Wire wire) throws Exception {
+        try (Deployment d = new Deployment(wire); Deployment.Client client = d.client()) {
+            d.primary().word = "BREAK";
+            Wire.Answer answer = client.ask(statement("reserve", 3000, ""));
+            assertEquals(answer.kind(), "FAILED", answer.toString());
+            List<StandIn.Seen> sent = d.ledger.seen.stream().filter(s -> s.id().equals(id())).toList();
+            long spread = sent.get(sent.size() - 1).at() - sent.get(0).at();
+            assertTrue(sent.size() > 1 && sent.size() <= 8, sent.toString());
+            assertTrue(spread < TimeUnit.MILLISECONDS.toNanos(2_050), sent.toString());
+            kept(d);
+        }
+    }
+
+    /** Guards against a read lost on a silent database, and against a second attempt beside the first. */
+    @Test(dataProvider = "wires")
+    public void readOnASilentReplicaIsWithdrawnAndGoesToTheOther(Wire wire) throws Exception {
+        try (Deployment d = new Deployment(wire); Deployment.Client client = d.client()) {
+            d.replicas().get(0).word = "SILENT";
+            for (int i = 0; i < 5; i++) {
+                served(client.ask(statement("map-view", 10_000, "")), "s-c");
+            }
+            kept(d);
+        }
+    }
+
+    /** Guards against an answer lost, or given twice, where no database ever answers. */
+    @Test(dataProvider = "wires")
+    public void everythingSilentEndsInOneAnswerWithinTheDeadline(Wire wire) throws Exception {
+        try (Deployment d = new Deployment(wire); Deployment.Client client = d.client()) {
+            d.databases.forEach(database -> database.word = "SILENT");
+            for (String cls : List.of("map-view", "reserve")) {
+                long start = System.nanoTime();
+                Wire.Answer answer = client.ask(statement(cls, 600, ""));
+                long millis = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - start);
+                assertTrue(answer.kind().matches("REFUSED|FAILED"), answer.toString());
+                assertTrue(millis < 1_500, millis + " ms");
+            }
+            d.databases.forEach(database -> database.word = "VALUE");
+            Thread.sleep(1_500);
+            assertEquals(client.ask(statement("map-view", 1000, "")).kind(), "SERVED");
+            kept(d);
+        }
+    }
+
+    /** A request that the module gives up on is answered at once, and says when to come again. */
+    @Test(dataProvider = "wires")
+    public void givenUpIsRefusedAtOnceWithARetryAfter(Wire wire) throws Exception {
+        try (Deployment d = new Deployment(wire); Deployment.Client client = d.client()) {
+            long start = System.nanoTime();
+            String elsewhere = statement("map-view", 30_000, "").replace("cluster=0", "cluster=7");
+            Wire.Answer answer = client.ask(elsewhere);
+            long millis = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - start);
+            assertEquals(answer.kind(), "REFUSED", answer.toString());
+            assertTrue(answer.retryAfter() > 0, answer.toString());
+            assertTrue(millis < 5_000, millis + " ms");
+            kept(d);
+        }
+    }
+
+    @Test(dataProvider = "wires")
+    public void drainingReplicaGetsNothingNew(Wire wire) throws Exception {
+        try (Deployment d = new Deployment(wire); Deployment.Client client = d.client()) {
+            StandIn draining = d.replicas().get(0);
+            client.ask(statement("map-view", 1000, ""));
+            d.list(draining, "draining");
+            Thread.sleep(1_000);
+            int before = d.ledger.at(draining.name).size();
+            for (int i = 0; i < 20; i++) {
+                assertEquals(client.ask(statement("map-view", 1000, "")).kind(), "SERVED");
+            }
+            assertEquals(d.ledger.at(draining.name).size(), before);
+            kept(d);
+        }
+    }
+
+    /**
+     * The hard case: a reservation is out at its primary when that drains and hands over. It has one answer,
+     * from the one attempt that it had, and what comes after goes to the new primary alone.
+     */
+    @Test(dataProvider = "wires")
+    public void reservationInFlightOutlivesItsPrimarysDrain(Wire wire) throws Exception {
+        try (Deployment d = new Deployment(wire); Deployment.Client first = d.client();
+                Deployment.Client later = d.client()) {
+            StandIn old = d.primary();
+            assertEquals(first.ask(statement("reserve", 3000, "")).value(), "s-a:" + id());
+            old.delayMs = 2_000;
+            first.send(statement("reserve", 10_000, ""));
+            String inFlight = id();
+            Thread.sleep(300);
+            old.mode = "read-only";
+            d.databases.get(1).mode = "read-write";
+            d.list(old, "draining");
+            assertEquals(d.ledger.sent(inFlight), 1);
+            assertEquals(first.answer().value(), "s-a:" + inFlight);
+            int before = d.ledger.at(old.name).size();
+            for (int i = 0; i < 5; i++) {
+                assertEquals(later.ask(statement("reserve", 3000, "")).value(), "s-b:" + id());
+            }
+            assertEquals(d.ledger.at(old.name).size(), before);
+            assertEquals(d.ledger.sent(inFlight), 1);
+            kept(d);
+        }
+    }
+
+    @Test(dataProvider = "wires")
+    public void statementThatCantBeReadFailsAlone(Wire wire) throws Exception {
+        try (Deployment d = new Deployment(wire); Deployment.Client client = d.client()) {
+            List<String> hints = List.of("id=1,c=map-view,d=480", "id=1,c=map-view,cluster=0",
+                    "id=1,d=480,cluster=0", "c=map-view,d=480,cluster=0", "id=1,c=none,d=480,cluster=0",
+                    "id=1,c=map-view,d=x,cluster=0", "id=1,c=map-view,d=-5,cluster=0", "",
+                    "id=1,c=map-view,d=480,cluster=99999999999999999999", "id=1,c=reserve,d=480,cluster=0",
+                    "id=1,c=map-view,d=480,cluster=0,after=x", "id=,c=map-view,d=480,cluster=0", ",,=,");
+            for (String hint : hints) {
+                assertEquals(client.ask("/* " + hint + " */ SELECT 1").kind(), "FAILED", hint);
+            }
+            assertEquals(client.ask("SELECT 1").kind(), "FAILED");
+            assertEquals(client.ask("/* id=1").kind(), "FAILED");
+            assertEquals(client.ask(statement("map-view", 1000, "")).kind(), "SERVED");
+            assertEquals(d.ledger.seen.size(), 1);
+            kept(d);
+        }
+    }
+
+    @Test(dataProvider = "wires")
+    public void nonsenseEndsOnlyItsOwnConnection(Wire wire) throws Exception {
+        try (Deployment d = new Deployment(wire); Deployment.Client client = d.client()) {
+            for (byte[] bytes : wire.nonsense()) {
+                for (boolean loggedIn : new boolean[] {false, true}) {
+                    try (Socket socket = d.connect()) {
+                        if (loggedIn) {
+                            wire.login(socket, "collectors");
+                        }
+                        socket.getOutputStream().write(bytes);
+                        socket.shutdownOutput();
+                        readToEnd(socket);
+                    }
+                }
+                assertEquals(client.ask(statement("map-view", 1000, "")).kind(), "SERVED");
+            }
+            kept(d);
+        }
+    }
+
+    private static void readToEnd(Socket socket) throws IOException {
+        try {
+            socket.getInputStream().readAllBytes();
+        } catch (java.net.SocketException e) {
+            // Reset rather than closed: ended all the same.
+            assertTrue(e.getMessage().contains("reset"), e.toString());
+        }
+    }
+
+    /** Guards against a request written to a connection that the database is about to end. */
+    @Test(dataProvider = "wires")
+    public void idleConnectionsAreEndedBeforeTheDatabaseEndsThem(Wire wire) throws Exception {
+        try (Deployment d = new Deployment(wire); Deployment.Client client = d.client()) {
+            d.databases.forEach(database -> database.idleMs = 4_000);
+            for (int i = 0; i < 4; i++) {
+                assertEquals(client.ask(statement("reserve", 3000, "")).kind(), "SERVED");
+            }
+            Thread.sleep(3_500);
+            assertEquals(d.primary().connections(), 0);
+            assertEquals(client.ask(statement("reserve", 3000, "")).kind(), "SERVED");
+            assertEquals(d.ledger.seen.size(), 5);
+            kept(d);
+        }
+    }
+
+    @Test(dataProvider = "wires")
+    public void clientThatLeavesTakesNothingWithIt(Wire wire) throws Exception {
+        try (Deployment d = new Deployment(wire); Deployment.Client client = d.client()) {
+            d.databases.forEach(database -> database.delayMs = 400);
+            try (Deployment.Client leaver = d.client()) {
+                leaver.send(statement("reserve", 3000, ""));
+                Thread.sleep(100);
+            }
+            assertEquals(client.ask(statement("reserve", 3000, "")).kind(), "SERVED");
+            kept(d);
+        }
+    }
+
+    /** Planned restarts must lose nothing: what is out is answered, and only then does the program end. */
+    @Test(dataProvider = "wires")
+    public void sigtermLosesNothingThatWasTaken(Wire wire) throws Exception {
+        try (Deployment d = new Deployment(wire); Deployment.Client idle = d.client();
+                Deployment.Client late = d.client()) {
+            d.primary().delayMs = 1_200;
+            List<Deployment.Client> clients = new ArrayList<>();
+            for (int i = 0; i < 3; i++) {
+                clients.add(d.client());
+                clients.get(i).send(statement("reserve", 3000, ""));
+            }
+            Thread.sleep(200);
+            d.process.toHandle().destroy();
+            Thread.sleep(100);
+            late.send(statement("map-view", 1000, ""));
+            assertEquals(late.answer().kind(), "SERVED");
+            for (Deployment.Client client : clients) {
+                assertEquals(client.answer().kind(), "SERVED");
+                client.close();
+            }
+            assertEquals(idle.answer().kind(), "CLOSED");
+            assertTrue(d.process.waitFor(10, TimeUnit.SECONDS));
+            d.reader.join();
+            assertTrue(d.log.stream().anyMatch(line -> line.contains("counters: taken=4 sent=4")
+                    && line.contains("served=4 refused={} failed={}")), d.log.toString());
+            kept(d);
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/crankwick/app/StandIn.java
@@ -0,0 +1,152 @@
+package crankwick.app;
+
+import java.io.DataInputStream;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.net.SocketTimeoutException;
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.CopyOnWriteArrayList;
+
+/** A small database: answers as it is told to, and notes what it was sent and when. */
+final class StandIn implements AutoCloseable {
+    /** What a database was sent: the request's id and when its last byte had come. */
+    record Seen(String server, String id, String statement, long at) {
+    }
+
+    /** What all the databases of a test have seen; the rules are read off it. */
+    static final class Ledger {
+        final List<Seen> seen = new CopyOnWriteArrayList<>();
+        final List<String> broken = new CopyOnWriteArrayList<>();
+        private final Set<String> inFlight = ConcurrentHashMap.newKeySet();
+
+        long sent(String id) {
+            return seen.stream().filter(s -> s.id().equals(id)).count();
+        }
+
+        List<Seen> at(String server) {
+            return seen.stream().filter(s -> s.server().equals(server)).toList();
+        }
+    }
+
+    final String name;
+    final ServerSocket listener;
+    volatile String mode;
+    /** VALUE, MISS, FULL, ERROR, SILENT (no answer at all) or BREAK (the connection ends instead). */
+    volatile String word = "VALUE";
+    volatile int delayMs;
+    /** Connections idle for so long are ended, as databases do. */
+    volatile int idleMs;
+    private final Wire wire;
+    private final Ledger ledger;
+    private final Set<Socket> sockets = ConcurrentHashMap.newKeySet();
+
+    StandIn(String name, String mode, Wire wire, Ledger ledger) throws IOException {
+        this.name = name;
+        this.mode = mode;
+        this.wire = wire;
+        this.ledger = ledger;
+        listener = new ServerSocket(0, 100, InetAddress.getByName("127.0.0.1"));
+        daemon(() -> {
+            while (true) {
+                Socket socket = listener.accept();
+                sockets.add(socket);
+                daemon(() -> serve(socket));
+            }
+        });
+    }
+
+    private interface Task {
+        void run() throws IOException;
+    }
+
+    private static void daemon(Task task) {
+        Thread thread = new Thread(() -> {
+            try {
+                task.run();
+            } catch (IOException e) {
+                // The peer has gone or the test is over; what matters is in the ledger.
+                Thread.currentThread().interrupt();
+            }
+        });
+        thread.setDaemon(true);
+        thread.start();
+    }
+
+    private void serve(Socket socket) throws IOException {
+        try (socket) {
+            socket.setTcpNoDelay(true);
+            DataInputStream in = new DataInputStream(socket.getInputStream());
+            wire.greet(socket, in);
+            while (true) {
+                socket.setSoTimeout(idleMs);
+                String statement = wire.statement(in);
+                if (statement == null) {
+                    return;
+                }
+                boolean probe = wire.isProbe(statement);
+                if (probe ? !answerProbe(socket) : !answer(socket, in, statement)) {
+                    return;
+                }
+            }
+        }
+    }
+
+    private boolean answerProbe(Socket socket) throws IOException {
+        if (!word.equals("SILENT")) {
+            wire.reply(socket, verdict("VALUE", ""), true);
+        }
+        return true;
+    }
+
+    private boolean answer(Socket socket, DataInputStream in, String statement) throws IOException {
+        String id = statement.replaceAll("(?s).*id=([^, ]*).*", "$1");
+        ledger.seen.add(new Seen(name, id, statement, System.nanoTime()));
+        if (!ledger.inFlight.add(id)) {
+            ledger.broken.add("two attempts of " + id + " in flight");
+        }
+        try {
+            String verdict = word;
+            int wait = verdict.equals("SILENT") ? 60_000 : delayMs;
+            if (wait > 0 && !stays(socket, in, wait) || verdict.equals("BREAK")) {
+                return false;
+            }
+            wire.reply(socket, verdict(verdict, name + ":" + id), false);
+            return true;
+        } finally {
+            ledger.inFlight.remove(id);
+        }
+    }
+
+    /** One that turns reads away is behind, and says so. */
+    private Wire.Verdict verdict(String answer, String value) {
+        long behind = word.equals("MISS") ? 10_000 : 0;
+        return new Wire.Verdict(answer, value, mode, System.currentTimeMillis() - behind);
+    }
+
+    /** Waits; false if the proxy ends the connection meanwhile. */
+    private static boolean stays(Socket socket, DataInputStream in, int millis) throws IOException {
+        socket.setSoTimeout(millis);
+        try {
+            return in.read() >= 0;
+        } catch (SocketTimeoutException e) {
+            return true;
+        }
+    }
+
+    int connections() {
+        sockets.removeIf(Socket::isClosed);
+        return sockets.size();
+    }
+
+    @Override
+    public void close() throws IOException {
+        listener.close();
+        for (Socket socket : sockets) {
+            socket.close();
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/crankwick/app/Wire.java
@@ -0,0 +1,38 @@
+package crankwick.app;
+
+import java.io.DataInputStream;
+import java.io.IOException;
+import java.net.Socket;
+
+/** A protocol as the tests speak it: as a client, and as a database. */
+interface Wire {
+    /** How a request was answered: SERVED, REFUSED, FAILED, CLOSED; the number or code, if there is one. */
+    record Answer(String kind, String code, String value, long retryAfter) {
+        static final Answer CLOSED = new Answer("CLOSED", "", null, 0);
+    }
+
+    /** What a database answers: a value, or one of the words MISS, FULL, ERROR; its position as Unix time. */
+    record Verdict(String word, String value, String mode, long position) {
+    }
+
+    /** Logs in as a client; null if the login is turned away. */
+    void login(Socket socket, String team) throws IOException;
+
+    void ask(Socket socket, String statement) throws IOException;
+
+    Answer answer(DataInputStream in) throws IOException;
+
+    /** Takes a proxy's login as a database. */
+    void greet(Socket socket, DataInputStream in) throws IOException;
+
+    /** The next statement that a proxy sends; null at the end. */
+    String statement(DataInputStream in) throws IOException;
+
+    /** True if the statement is a probe. */
+    boolean isProbe(String statement);
+
+    void reply(Socket socket, Verdict verdict, boolean probe) throws IOException;
+
+    /** Bytes that no peer should send. */
+    byte[][] nonsense();
+}
