--- a/src/main/java/crankwick/Router.java
+++ b/src/main/java/crankwick/Router.java
@@ -48,8 +48,13 @@
     private static final double PROBE_EARN = 1;
     private static final double PROBE_POINTS = 0.03;
     private static final double PROBE_MAX = 40;
-    /** Work that takes this many times what is expected there makes its member be asked. */
+    /**
+     * Work that takes this many times what is expected there makes its member be asked, more by the second
+     * for each e-fold of a probe's price over the third: the longest works are exponentially fewer.
+     */
     private static final double DOUBT = 2.5;
+    private static final double DOUBT_RISE = 2;
+    private static final double DOUBT_PRICE = 0.02;
     /** Work out this many calm durations at a free member is taken for lost. */
     private static final double OVERDUE = 5;
     /** A class's usual duration is held at a low quantile, so that overload hardly lifts it. */
@@ -132,6 +137,7 @@
     private final long[] firstWait;
     private final int[] votes;
     private final double probeEarn;
+    private final double doubt;
     private double mostWorth;
     private double resends = RESEND_MAX;
     private double probeCredit = PROBE_MAX;
@@ -149,6 +155,7 @@
         random = new SplittableRandom(seed);
         List<RequestClass> classes = settings.classes();
         probeEarn = Math.min(PROBE_EARN, PROBE_POINTS / Math.max(1e-9, settings.prices().probe()));
+        doubt = DOUBT + DOUBT_RISE * Math.log(Math.max(1, settings.prices().probe() / DOUBT_PRICE));
         usual = new double[classes.size()];
         firstWait = new long[classes.size()];
         votes = new int[classes.size()];
@@ -782,7 +789,7 @@
         p.at = s;
         p.sentAt = now;
         p.checkAt = p.kind.repeat() == Repeat.SAFE && settings.limits().probes()
-                ? now + (long) (DOUBT * usual(p) * expected(s)) : Long.MAX_VALUE;
+                ? now + (long) (doubt * usual(p) * expected(s)) : Long.MAX_VALUE;
         p.group.out.put(p.request.id(), p);
         s.inFlight++;
         s.sentAt = now;
--- a/src/test/java/crankwick/ManyGatewaysTest.java
+++ b/src/test/java/crankwick/ManyGatewaysTest.java
@@ -85,6 +85,23 @@
         assertEquals(0, rig.probes, "none is earned");
     }
 
+    @Test
+    void longWorkIsAskedAboutLaterWhereProbesAreDear() {
+        assertTrue(askedAfter(0.08) > 1.5 * askedAfter(0.02));
+        assertTrue(askedAfter(0.08) < 1_000 * MS, "a silent member is still found while another may serve");
+    }
+
+    private static long askedAfter(double price) {
+        Rig.Build build = new Rig.Build();
+        build.probePrice = price;
+        Rig rig = Rig.known(build.settings());
+        long read = rig.request(Rig.ANY);
+        while (!rig.probing(rig.sentTo(read)) && rig.now < Rig.START + 2_000 * MS) {
+            rig.advance(5 * MS);
+        }
+        return rig.now - Rig.START;
+    }
+
     @Test
     void checkingReplicaHeardLongAgoIsTakenToHaveGoneOnApplying() {
         Rig.Build build = new Rig.Build();
