--- a/src/main/java/crankwick/Router.java
+++ b/src/main/java/crankwick/Router.java
@@ -50,11 +50,12 @@
     private static final double PROBE_MAX = 40;
     /**
      * Work that takes this many times what is expected there makes its member be asked, more by the second
-     * for each e-fold of a probe's price over the third: the longest works are exponentially fewer.
+     * for each e-fold that probes are dearer: the longest works are exponentially fewer.
      */
     private static final double DOUBT = 2.5;
     private static final double DOUBT_RISE = 2;
-    private static final double DOUBT_PRICE = 0.02;
+    /** At this price of probes, in points for one a request, the spans between questions are as stated. */
+    private static final double PROBE_PRICE = 0.02;
     /** Work out this many calm durations at a free member is taken for lost. */
     private static final double OVERDUE = 5;
     /** A class's usual duration is held at a low quantile, so that overload hardly lifts it. */
@@ -137,10 +138,14 @@
     private final long[] firstWait;
     private final int[] votes;
     private final double probeEarn;
+    /** How many times dearer than that probes are, 1 at least. */
+    private final double dear;
     private final double doubt;
     private double mostWorth;
     private double resends = RESEND_MAX;
     private double probeCredit = PROBE_MAX;
+    /** Whether asking a member can tell how busy it is. */
+    private boolean reportsLoad;
     private double sends;
     private long sendsAt;
     private double fleetUse = 1;
@@ -155,7 +160,8 @@
         random = new SplittableRandom(seed);
         List<RequestClass> classes = settings.classes();
         probeEarn = Math.min(PROBE_EARN, PROBE_POINTS / Math.max(1e-9, settings.prices().probe()));
-        doubt = DOUBT + DOUBT_RISE * Math.log(Math.max(1, settings.prices().probe() / DOUBT_PRICE));
+        dear = Math.max(1, settings.prices().probe() / PROBE_PRICE);
+        doubt = DOUBT + DOUBT_RISE * Math.log(dear);
         usual = new double[classes.size()];
         firstWait = new long[classes.size()];
         votes = new int[classes.size()];
@@ -361,6 +367,7 @@
         }
         s.use = Double.isNaN(r.utilization()) ? 0 : r.utilization();
         double waiting = Double.isNaN(r.backlog()) ? r.inFlight() - PARALLEL : r.backlog();
+        reportsLoad |= !Double.isNaN(waiting) || !Double.isNaN(r.utilization());
         s.queue = Double.isNaN(waiting) ? 0 : Math.max(0, waiting);
         s.reportAt = now;
         if (warmth(s) >= 1) {
@@ -720,7 +727,8 @@
                 return;
             }
         }
-        Server pick = draw(p, s -> askable(s) && (now - s.probedAt > ASK_FAR || !silent(s, ASK_WAIT)
+        Server pick = draw(p, s -> askable(s) && (reportsLoad || !evident(s) || !freshEnough(s, p))
+                && (now - s.probedAt > ASK_FAR * dear || !silent(s, ASK_WAIT)
                 && (freshEnough(s, p) || owed(p) - s.position < ASK_REACH + now - s.positionAt)));
         if (pick != null) {
             probe(pick);
@@ -730,7 +738,7 @@
     }
 
     private boolean askable(Server s) {
-        return listed(s) && !s.probeOut && now - s.probedAt >= ASK_AGAIN && probeCredit >= 1;
+        return listed(s) && !s.probeOut && now - s.probedAt >= ASK_AGAIN * dear && probeCredit >= 1;
     }
 
     private void probe(Server s) {
@@ -887,7 +895,7 @@
      * earned nobody can be asked, and work that waits for news of members is lost for certain.
      */
     private boolean evident(Server s) {
-        long span = s == s.group.primary ? FRESH : belief;
+        long span = s == s.group.primary ? (long) Math.min(RATE_SPAN, FRESH * dear) : belief;
         return !settings.limits().probes() || !silent(s, ASK_WAIT)
                 && (now - s.heardAt <= span || s.heardAt == RouterState.NEVER || probeCredit < 1);
     }
--- a/src/main/java/crankwick/net/DatabasePool.java
+++ b/src/main/java/crankwick/net/DatabasePool.java
@@ -209,6 +209,18 @@
             });
         }
 
+        /** Keeps the connection for the job until it has rested: that is sooner than another comes up. */
+        void startRested(Job next) {
+            job = next;
+            next.link = this;
+            started = new AtomicBoolean();
+            runner.loop().after(idleSince + REST - runner.clock().now(), () -> {
+                if (!gone && job == next) {
+                    start(next);
+                }
+            });
+        }
+
         void onMessages(List<DatabaseMessage> messages) {
             for (DatabaseMessage message : messages) {
                 if (!gone) {
@@ -374,8 +386,11 @@
     private void begin(Job job) {
         Discovery.Host host = hosts.get(job.server);
         Link link = rested(job.server);
+        Link resting = link != null ? null : idle.getOrDefault(job.server, noLinks).pollFirst();
         if (link != null) {
             link.start(job);
+        } else if (resting != null) {
+            resting.startRested(job);
         } else if (host == null || links >= maxLinks && !makeRoom()) {
             job.end(Result.NOT_SENT, null);
         } else {
@@ -386,7 +401,7 @@
         }
     }
 
-    /** The connection to a database that was used last, of those that have rested. */
+    /** The connection to a database that was used last, of those that have rested; null if none has. */
     private Link rested(String server) {
         long since = runner.clock().now() - REST;
         Iterator<Link> free = idle.getOrDefault(server, noLinks).descendingIterator();
--- a/src/test/java/crankwick/app/RulesIT.java
+++ b/src/test/java/crankwick/app/RulesIT.java
@@ -78,6 +78,19 @@
         }
     }
 
+    /** Guards against a new connection for each request that comes right behind an answer. */
+    @Test(dataProvider = "wires")
+    public void oneRequestAfterAnotherWaitsForTheConnectionToRest(Wire wire) throws Exception {
+        try (Deployment d = new Deployment(wire); Deployment.Client client = d.client()) {
+            for (int i = 0; i < 40; i++) {
+                served(client.ask(statement("reserve", 3000, "")), "s-a");
+            }
+            int opened = d.databases.get(0).opened.get();
+            assertTrue(opened <= 4, "for 40 writes and some probes: " + opened);
+            kept(d);
+        }
+    }
+
     /** Guards against a miss that is taken for an answer, and against both replicas being asked at once. */
     @Test(dataProvider = "wires")
     public void missedReadGoesToAnotherReplica(Wire wire) throws Exception {
--- a/src/test/java/crankwick/app/StandIn.java
+++ b/src/test/java/crankwick/app/StandIn.java
@@ -10,6 +10,7 @@
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.atomic.AtomicInteger;
 
 /** A small database: answers as it is told to, and notes what it was sent and when. */
 final class StandIn implements AutoCloseable {
@@ -45,6 +46,8 @@
     /** Every fifth new connection is reset, and what had been answered on is reset by the next statement. */
     volatile boolean resets;
     private int accepted;
+    /** Connections that ever came up. */
+    final AtomicInteger opened = new AtomicInteger();
     /** Connections idle for so long are ended, as databases do. */
     volatile int idleMs;
     private final Wire wire;
@@ -91,6 +94,7 @@
                 socket.setSoLinger(true, 0);
                 return;
             }
+            opened.incrementAndGet();
             wire.greet(socket, in);
             for (int asked = 0;; asked++) {
                 socket.setSoTimeout(idleMs);
