Let a safe attempt end by itself past its deadline, and keep its connection

Change: a written attempt of a safe class stays out for up to 1 s past its deadline. Its request has its one final answer by then and is never sent again. Writes are withdrawn as before: silence under them tells of changes of primaries.

--- a/src/main/java/crankwick/broker/Broker.java
+++ b/src/main/java/crankwick/broker/Broker.java
@@ -2,6 +2,7 @@
 
 import crankwick.Router;
 import crankwick.RouterApi.Need;
+import crankwick.RouterApi.Repeat;
 import crankwick.RouterApi.Report;
 import crankwick.RouterApi.Result;
 import crankwick.RouterApi.Role;
@@ -27,6 +28,8 @@
     private static final long SECOND = 1_000_000;
     /** How far a database's clock may be ahead. */
     private static final long AHEAD = SECOND;
+    /** How long past its deadline an attempt stays out: withdrawn work goes on, and costs the connection. */
+    private static final long LINGER = SECOND;
 
     /** A request from its coming in until it is answered and has no attempt out. */
     private static final class Life {
@@ -282,13 +285,19 @@
         }
     }
 
-    /** At the deadline nothing stays out, and what the module has not answered by itself has failed. */
+    /**
+     * What the module has not answered by its deadline has failed. A safe attempt that is written may then
+     * still end by itself, for {@link #LINGER}: its answer teaches, and its connection is kept.
+     */
     private void onDeadline(long ref) {
         Life life = lives.get(ref);
         if (life == null) {
             return;
         }
-        if (life.inFlight) {
+        boolean safe = settings.classes().get(life.call.cls()).repeat() == Repeat.SAFE;
+        if (life.inFlight && life.written && safe && now < life.expires + LINGER) {
+            effects.add(new Effect.Arm(life.expires + LINGER - now, new BrokerEvent.DeadlineDue(ref)));
+        } else if (life.inFlight) {
             withdraw(life, life.written ? Result.TIMEOUT : Result.NOT_SENT);
             tellRouter();
         }
--- a/src/test/java/crankwick/app/RulesIT.java
+++ b/src/test/java/crankwick/app/RulesIT.java
@@ -91,6 +91,23 @@
         }
     }
 
+    /** Guards against a connection lost with each answer past its deadline, and against two answers. */
+    @Test(dataProvider = "wires")
+    public void answerPastItsDeadlineLeavesTheConnectionForTheNext(Wire wire) throws Exception {
+        try (Deployment d = new Deployment(wire); Deployment.Client client = d.client()) {
+            d.databases.forEach(database -> database.delayMs = 300);
+            for (int i = 0; i < 5; i++) {
+                Wire.Answer answer = client.ask(statement("map-view", 200, ""));
+                assertTrue(answer.kind().matches("FAILED|REFUSED"), answer.toString());
+                Thread.sleep(400);
+            }
+            int opened = d.replicas().stream().mapToInt(replica -> replica.opened.get()).sum();
+            assertTrue(d.ledger.seen.size() >= 2, d.ledger.seen.toString());
+            assertTrue(opened <= 6, "for two replicas: " + opened);
+            kept(d);
+        }
+    }
+
     /** Guards against a miss that is taken for an answer, and against both replicas being asked at once. */
     @Test(dataProvider = "wires")
     public void missedReadGoesToAnotherReplica(Wire wire) throws Exception {
