Open silent watches anew in time, and watch lists that are pushed

Seen: requests to databases announced as leaving.

Pushed lists: Router asks to watch only where lists are asked for (onMembership), and nobody else opened one.

The change: WatchKeeper, free of I/O, owns when discovery is called, how long a call may take and which answer is taken; holds are 2 to 4 s, drawn anew, so that watches that fell silent together come back apart; silence is noticed 0.5 s after the hold and answered by a call at once; pauses after failures end at 0.6 s instead of 4.8 s. Watching begins with the front, whatever the settings say of lists. An older list is taken only when the whole list says so again; one unreadable entry no longer costs the list; an answer over 2 MiB ends the call.

--- a/src/main/java/crankwick/app/Main.java
+++ b/src/main/java/crankwick/app/Main.java
@@ -79,9 +79,9 @@
         Service service = new Service(wire, config.settings(), config.seed(),
                 Map.of("", Contract.UNLIMITED), config.sockets(), transport, changes);
         ListCodec lists = new ListCodec(config.settings().zoneNames());
-        service.start(config.listen(), config.sockets(), config.known(), loop -> new HttpWatch(transport,
-                loop, config.discovery(), () -> PlatformConfig.read(file).discovery(), lists,
-                config.version(), service::onListed));
+        service.start(config.listen(), config.sockets(), config.known(), (loop, clock) -> new HttpWatch(
+                transport, loop, clock, config.discovery(), () -> PlatformConfig.read(file).discovery(),
+                lists, config.version(), config.seed(), service::onListed));
         return service;
     }
 
@@ -92,7 +92,7 @@
                 file.sockets(), transport, file.changes());
         var known = new Discovery.News(ListKind.RESTORED,
                 DnsSdFile.parse(file.zone(), zones));
-        service.start(file.listen(), file.sockets(), known, loop -> new DnsSdFile(file.zone(),
+        service.start(file.listen(), file.sockets(), known, (loop, clock) -> new DnsSdFile(file.zone(),
                 () -> OperatorFile.read(path).zone(), zones, file.rereadEvery(), loop, service::onListed));
         return service;
     }
--- a/src/main/java/crankwick/app/PlatformConfig.java
+++ b/src/main/java/crankwick/app/PlatformConfig.java
@@ -29,6 +29,9 @@
             SettingsCodec settings = new SettingsCodec(root.getAsJsonObject(key).toString());
             key = "known";
             ListCodec.Versioned known = new ListCodec(settings.zoneNames()).parse(root.getAsJsonObject(key));
+            if (known.fault() != null) {
+                throw new IllegalArgumentException(known.fault());
+            }
             key = "listen";
             InetSocketAddress listen = ListCodec.address(root.get(key).getAsString());
             key = "discovery";
--- a/src/main/java/crankwick/app/Service.java
+++ b/src/main/java/crankwick/app/Service.java
@@ -17,7 +17,7 @@
 import java.util.Map;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
-import java.util.function.Function;
+import java.util.function.BiFunction;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -62,15 +62,16 @@
 
     /** Listens, and is ready once a list that names a database is known. */
     void start(InetSocketAddress listen, int sockets, Discovery.News known,
-            Function<EventLoop, Discovery> discoveryOn) throws IOException {
+            BiFunction<EventLoop, Clock, Discovery> discoveryOn) throws IOException {
         DatabasePool pool = new DatabasePool(runner, transport, wire.database(),
                 settings.settings.limits().connectTimeout(), settings.connIdle(),
                 (int) (sockets * DATABASE_SHARE));
         loop.execute(() -> {
             new Rehearsal(settings, wire.front(), wire.database()).run();
-            discovery = discoveryOn.apply(loop);
-            runner.attach(front, pool, discovery);
+            discovery = discoveryOn.apply(loop, clock);
+            runner.attach(front, pool);
             onListed(known);
+            discovery.start();
         });
         front.listen(transport, listen, wire.front());
     }
--- a/src/main/java/crankwick/broker/Broker.java
+++ b/src/main/java/crankwick/broker/Broker.java
@@ -424,12 +424,12 @@
 
         @Override
         public void watch() {
-            effects.add(new Effect.Watch());
+            // The front's discovery watches by itself from its start on, pushed or asked.
         }
 
         @Override
         public void fetch() {
-            effects.add(new Effect.Fetch());
+            // Nor does it need to be told to ask for the whole list.
         }
 
         @Override
--- a/src/main/java/crankwick/broker/Effect.java
+++ b/src/main/java/crankwick/broker/Effect.java
@@ -22,14 +22,6 @@
     record Arm(long delay, BrokerEvent event) implements Effect {
     }
 
-    /** Ask discovery for changes from now on. */
-    record Watch() implements Effect {
-    }
-
-    /** Ask discovery for the whole list once. */
-    record Fetch() implements Effect {
-    }
-
     /** A line for the operators. */
     record Log(String line) implements Effect {
     }
--- a/src/main/java/crankwick/discovery/Discovery.java
+++ b/src/main/java/crankwick/discovery/Discovery.java
@@ -5,13 +5,10 @@
 import java.net.InetSocketAddress;
 import java.util.List;
 
-/** Where the list of databases comes from; each call brings one {@link News} or more, on the loop. */
+/** Where the list of databases comes from: {@link News} on the loop, from the start to the end. */
 public interface Discovery {
-    /** Asks for changes from now on. */
-    void watch();
-
-    /** Asks for the whole list once. */
-    void fetch();
+    /** Begins to watch; whatever fails then is asked for again, without being told to. */
+    void start();
 
     /** Reads its configuration again and goes on where that says; an unreadable one changes nothing. */
     void reload();
@@ -23,11 +20,8 @@
     record Host(Member member, InetSocketAddress address) {
     }
 
-    /** What a call brought. */
+    /** What has been heard: changes, or a whole list. */
     record News(ListKind kind, List<Host> hosts) {
-        /** The call failed, or the watch ended. */
-        public static final News UNAVAILABLE = new News(ListKind.UNAVAILABLE, List.of());
-
         /** The list without the addresses. */
         public List<Member> members() {
             return hosts.stream().map(Host::member).toList();
--- a/src/main/java/crankwick/discovery/DnsSdFile.java
+++ b/src/main/java/crankwick/discovery/DnsSdFile.java
@@ -58,17 +58,9 @@
     }
 
     @Override
-    public void watch() {
-        if (!watching) {
-            watching = true;
-            look();
-        }
-    }
-
-    @Override
-    public void fetch() {
-        last = "";
-        read();
+    public void start() {
+        watching = true;
+        look();
     }
 
     @Override
--- a/src/main/java/crankwick/discovery/HttpWatch.java
+++ b/src/main/java/crankwick/discovery/HttpWatch.java
@@ -1,6 +1,6 @@
 package crankwick.discovery;
 
-import crankwick.RouterApi.ListKind;
+import crankwick.net.Clock;
 import crankwick.net.EventLoop;
 import crankwick.net.Transport;
 import java.io.IOException;
@@ -24,54 +24,48 @@
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
-/**
- * The platform's list of databases over HTTP. A watch goes on call by call, each sent as soon as the last
- * is answered; a call that fails ends the watch, and the decision module asks anew after its back-off.
- */
-public final class HttpWatch implements Discovery {
+/** The platform's list of databases over HTTP: makes the calls that a {@link WatchKeeper} decides on. */
+public final class HttpWatch implements Discovery, WatchKeeper.Calls {
     private static final Logger LOG = LoggerFactory.getLogger(HttpWatch.class);
-    private static final long HOLD_MS = 10_000;
-    /** A call is given up this long after its hold: past it, its news counts as told anyway. */
-    private static final long GRACE = 1_900_000;
+    private static final String PATH = "/discovery/hosts";
+    /** Guards against an answer without end: 1,024 databases take a seventh of it, indented. */
+    private static final int MAX_BODY = 2 << 20;
 
     private final Transport transport;
     private final EventLoop loop;
+    private final Clock clock;
     private final Callable<InetSocketAddress> configured;
     private final ListCodec codec;
     private final Consumer<News> listener;
+    private final WatchKeeper keeper;
     private InetSocketAddress address;
-    private long version;
-    private Exchange watching;
+    private Exchange exchange;
+    private EventLoop.Timer timer;
     private boolean closed;
+    private boolean troubled;
+    private String fault;
 
     /** {@code version} is that of the list last had; {@code configured} reads the configured address. */
-    public HttpWatch(Transport transport, EventLoop loop, InetSocketAddress address,
-            Callable<InetSocketAddress> configured, ListCodec codec, long version, Consumer<News> listener) {
+    public HttpWatch(Transport transport, EventLoop loop, Clock clock, InetSocketAddress address,
+            Callable<InetSocketAddress> configured, ListCodec codec, long version, long seed,
+            Consumer<News> listener) {
         this.transport = transport;
         this.loop = loop;
+        this.clock = clock;
         this.address = address;
         this.configured = configured;
         this.codec = codec;
-        this.version = version;
         this.listener = listener;
+        keeper = new WatchKeeper(version, seed, this);
     }
 
     @Override
-    public void watch() {
-        if (!closed && watching == null) {
-            watching = new Exchange("/discovery/hosts?from=" + version + "&hold_ms=" + HOLD_MS,
-                    HOLD_MS * 1_000 + GRACE);
-        }
-    }
-
-    @Override
-    public void fetch() {
-        if (!closed) {
-            new Exchange("/discovery/hosts", GRACE);
-        }
+    public void start() {
+        keeper.start(clock.now());
+        arm();
     }
 
-    /** The old address may end its connections; the watch goes on at the new one from the list last had. */
+    /** The old address may end its connections; the watch goes on at the new one. */
     @Override
     public void reload() {
         InetSocketAddress now;
@@ -86,59 +80,82 @@
         }
         LOG.info("discovery moves from {} to {}", address, now);
         address = now;
-        if (watching != null) {
-            watching.end();
-            watching = null;
-        }
-        watch();
+        keeper.moved(clock.now());
+        arm();
     }
 
     @Override
     public void close() {
         closed = true;
-        if (watching != null) {
-            watching.end();
+        keeper.end();
+        arm();
+    }
+
+    @Override
+    public void open(long call, long from, long hold) {
+        exchange = new Exchange(call,
+                from == WatchKeeper.WHOLE ? null : "from=" + from + "&hold_ms=" + hold / 1_000);
+    }
+
+    @Override
+    public void end(long call) {
+        fault = exchange.connection == null ? "no connection in time" : "silent past its hold";
+        exchange.end();
+    }
+
+    /** Sets the timer to when the keeper wants to be called next; says when trouble begins and ends. */
+    private void arm() {
+        if (timer != null) {
+            timer.cancel();
+        }
+        long now = clock.now();
+        if (keeper.dueAt() < Long.MAX_VALUE) {
+            timer = loop.after(Math.max(0, keeper.dueAt() - now), () -> {
+                keeper.due(clock.now());
+                arm();
+            });
+        }
+        boolean trouble = keeper.troubleSince() < Long.MAX_VALUE;
+        if (trouble != troubled) {
+            troubled = trouble;
+            LOG.info("discovery {}: {}", address, trouble ? fault : "answers again");
         }
     }
 
-    private void onBody(Exchange exchange, String body) {
+    private void onBody(Exchange answered, String body) {
+        ListCodec.Versioned list;
         try {
-            ListCodec.Versioned list = codec.parse(body);
-            boolean newer = list.version() >= version || list.news().kind() == ListKind.FULL;
-            if (exchange == watching) {
-                watching = null;
-                version = list.version();
-                watch();
-            }
-            if (newer) {
-                listener.accept(list.news());
-            }
+            list = codec.parse(body);
         } catch (RuntimeException e) {
             LOG.warn("discovery's answer can't be read: {}", e.toString());
-            onFailure(exchange);
+            fault = "unreadable";
+            keeper.failed(answered.call, clock.now());
+            return;
         }
-    }
-
-    private void onFailure(Exchange exchange) {
-        if (exchange == watching) {
-            watching = null;
+        if (list.fault() != null) {
+            LOG.warn("discovery's answer can't be read in part: {}", list.fault());
+            fault = "unreadable in part";
         }
-        if (!closed) {
-            listener.accept(News.UNAVAILABLE);
+        if (keeper.answered(answered.call, list.version(), list.fault() == null, clock.now())) {
+            listener.accept(list.news());
+        } else {
+            LOG.warn("discovery's answer is older than the list had: {}", list.version());
+            fault = "older than before";
         }
     }
 
     /** One call on a connection of its own, which ends with it. */
     private final class Exchange extends EmptyCompletionHandler<Connection<SocketAddress>> {
-        private final String uri;
-        private final EventLoop.Timer timer;
+        final long call;
+        private final String query;
         private final Future<?> connecting;
         private Connection<SocketAddress> connection;
         private boolean over;
 
-        Exchange(String uri, long timeout) {
-            this.uri = uri;
-            timer = loop.after(timeout, () -> finish(null));
+        /** {@code query} is null for the whole list. */
+        Exchange(long call, String query) {
+            this.call = call;
+            this.query = query;
             connecting = transport.connect(address, this,
                     Transport.chain(new HttpClientFilter(), new Receiver()));
         }
@@ -151,42 +168,47 @@
                     up.terminateSilently();
                     return;
                 }
-                String path = uri.substring(0, uri.indexOf('?') < 0 ? uri.length() : uri.indexOf('?'));
-                HttpRequestPacket.Builder request = HttpRequestPacket.builder().method("GET").uri(path)
+                keeper.connected(call, clock.now());
+                arm();
+                HttpRequestPacket.Builder request = HttpRequestPacket.builder().method("GET").uri(PATH)
                         .protocol(Protocol.HTTP_1_1).header("Host",
                                 address.getHostString() + ':' + address.getPort());
-                if (path.length() < uri.length()) {
-                    request.query(uri.substring(path.length() + 1));
+                if (query != null) {
+                    request.query(query);
                 }
                 up.write(request.build(), new EmptyCompletionHandler<WriteResult<Object, SocketAddress>>() {
                     @Override
                     public void failed(Throwable fault) {
-                        loop.execute(() -> finish(null));
+                        loop.execute(() -> fail("the call can't be written"));
                     }
                 });
             });
         }
 
         @Override
-        public void failed(Throwable fault) {
-            loop.execute(() -> finish(null));
+        public void failed(Throwable why) {
+            loop.execute(() -> fail("no connection"));
         }
 
-        private void finish(String body) {
-            if (over) {
-                return;
+        private void fail(String why) {
+            if (!over) {
+                end();
+                fault = why;
+                keeper.failed(call, clock.now());
+                arm();
             }
-            end();
-            if (body == null) {
-                onFailure(this);
-            } else {
+        }
+
+        private void answered(String body) {
+            if (!over) {
+                end();
                 onBody(this, body);
+                arm();
             }
         }
 
         private void end() {
             over = true;
-            timer.cancel();
             if (connection != null) {
                 connection.terminateSilently();
             } else {
@@ -198,19 +220,28 @@
             @Override
             public NextAction handleRead(FilterChainContext context) throws IOException {
                 HttpContent content = context.getMessage();
+                if (content.getContent().remaining() > MAX_BODY) {
+                    loop.execute(() -> fail("an answer of over " + MAX_BODY + " bytes"));
+                    return context.getStopAction();
+                }
                 if (!content.isLast()) {
                     return context.getStopAction(content);
                 }
                 int status = ((HttpResponsePacket) content.getHttpHeader()).getStatus();
-                String body = status == 200 ? content.getContent().toStringContent(StandardCharsets.UTF_8)
-                        : null;
-                loop.execute(() -> finish(body));
+                String body = content.getContent().toStringContent(StandardCharsets.UTF_8);
+                loop.execute(() -> {
+                    if (status == 200) {
+                        answered(body);
+                    } else {
+                        fail("status " + status);
+                    }
+                });
                 return context.getStopAction();
             }
 
             @Override
             public NextAction handleClose(FilterChainContext context) {
-                loop.execute(() -> finish(null));
+                loop.execute(() -> fail("the connection ended"));
                 return context.getStopAction();
             }
         }
--- a/src/main/java/crankwick/discovery/ListCodec.java
+++ b/src/main/java/crankwick/discovery/ListCodec.java
@@ -20,8 +20,11 @@
         this.zones = zones;
     }
 
-    /** A list and its version. */
-    public record Versioned(long version, Discovery.News news) {
+    /**
+     * A list and its version. {@code fault} names what is wrong with the first entry that can't be read, or
+     * is null; such entries are left out, and a whole list is then no more than changes: none has left it.
+     */
+    public record Versioned(long version, Discovery.News news, String fault) {
     }
 
     /** Reads a list; throws IllegalArgumentException or another RuntimeException on what is none. */
@@ -32,11 +35,19 @@
     /** Reads a list that is part of a larger document. */
     public Versioned parse(JsonObject root) {
         List<Discovery.Host> hosts = new ArrayList<>();
+        String fault = null;
+        int place = 0;
         for (JsonElement e : root.getAsJsonArray("servers")) {
-            hosts.add(host(e.getAsJsonObject()));
+            try {
+                hosts.add(host(e.getAsJsonObject()));
+            } catch (RuntimeException unreadable) {
+                fault = fault == null ? "servers[" + place + "]: " + unreadable.getMessage() : fault;
+            }
+            place++;
         }
-        ListKind kind = root.get("full").getAsBoolean() ? ListKind.FULL : ListKind.CHANGES;
-        return new Versioned(root.get("version").getAsLong(), new Discovery.News(kind, hosts));
+        boolean whole = root.get("full").getAsBoolean() && fault == null;
+        return new Versioned(root.get("version").getAsLong(),
+                new Discovery.News(whole ? ListKind.FULL : ListKind.CHANGES, hosts), fault);
     }
 
     private Discovery.Host host(JsonObject o) {
--- a/src/main/java/crankwick/emulate/MemberList.java
+++ b/src/main/java/crankwick/emulate/MemberList.java
@@ -125,7 +125,8 @@
         long from = query == null ? -1 : Long.parseLong(query.replaceAll("from=(\\d+).*", "$1"));
         byte[] body;
         synchronized (this) {
-            long until = System.currentTimeMillis() + WAIT_MOST;
+            long hold = query == null ? 0 : Long.parseLong(query.replaceAll(".*hold_ms=(\\d+).*", "$1"));
+            long until = System.currentTimeMillis() + Math.min(WAIT_MOST, hold);
             while (from >= version && System.currentTimeMillis() < until) {
                 try {
                     wait(100);
--- a/src/main/java/crankwick/net/EffectRunner.java
+++ b/src/main/java/crankwick/net/EffectRunner.java
@@ -19,7 +19,6 @@
     private boolean running;
     private ClientFront front;
     private DatabasePool pool;
-    private Discovery discovery;
 
     /** Before any event, {@link #attach} must name who carries the effects out. */
     public EffectRunner(Broker broker, EventLoop loop, Clock clock) {
@@ -29,10 +28,9 @@
     }
 
     /** Names who carries the effects out. */
-    public void attach(ClientFront clients, DatabasePool databases, Discovery lists) {
+    public void attach(ClientFront clients, DatabasePool databases) {
         front = clients;
         pool = databases;
-        discovery = lists;
     }
 
     /** Tells the broker; an event that an effect brings about waits until that effect's siblings are done. */
@@ -64,10 +62,6 @@
             loop.after(e.delay(), () -> tell(e.event()));
         } else if (effect instanceof Effect.Probe e) {
             pool.probe(e.server());
-        } else if (effect instanceof Effect.Watch) {
-            discovery.watch();
-        } else if (effect instanceof Effect.Fetch) {
-            discovery.fetch();
         } else if (effect instanceof Effect.Log e) {
             LOG.info(e.line());
         }
--- a/src/test/java/crankwick/app/Deployment.java
+++ b/src/test/java/crankwick/app/Deployment.java
@@ -59,6 +59,7 @@
     }
 
     final Wire wire;
+    private final String lists;
     final StandIn.Ledger ledger = new StandIn.Ledger();
     final List<StandIn> databases = new ArrayList<>();
     final List<String> log = new CopyOnWriteArrayList<>();
@@ -72,9 +73,21 @@
     private String zoneFile = "stations.zone";
     private final int port;
     private int version = 1;
+    /** Watches that are open now are never answered. */
+    private int silentBefore;
+    private int calls;
+    /** How long a call waits its turn; until when the last one is held. */
+    private int turnMs;
+    private long heldUntil;
 
     Deployment(Wire wire) throws IOException, InterruptedException {
+        this(wire, "ask");
+    }
+
+    /** {@code lists} is how the settings say that lists come: they are to be asked for, or pushed. */
+    Deployment(Wire wire, String lists) throws IOException, InterruptedException {
         this.wire = wire;
+        this.lists = lists;
         for (String name : List.of("s-a", "s-b", "s-c")) {
             databases.add(new StandIn(name, name.equals("s-a") ? "read-write" : "read-only", wire, ledger));
             states.put(name, "up");
@@ -158,7 +171,7 @@
     }
 
     private String platformConfig() throws IOException {
-        String settings = Toml.parse(OPERATOR_FILE).getTable("settings").toJson();
+        String settings = Toml.parse(operatorFile()).getTable("settings").toJson();
         return "{\"name\":\"n0\",\"listen\":\"127.0.0.1:0\",\"discovery\":\"127.0.0.1:"
                 + discovery.getAddress().getPort() + "\",\"seed\":\"8c1f30d27a5be964\","
                 + "\"limits\":{\"sockets\":512},\"known\":" + json(0) + ",\"settings\":" + settings + "}";
@@ -166,20 +179,21 @@
 
     private String operatorFile() throws IOException {
         return Files.readString(OPERATOR_FILE).replace("127.0.0.1:1433", "127.0.0.1:0")
-                .replace("stations.zone", zoneFile);
+                .replace("stations.zone", zoneFile).replace("\"ask\"", '"' + lists + '"');
     }
 
     private void list(HttpExchange exchange) throws IOException {
         String query = exchange.getRequestURI().getQuery();
         int from = query == null ? 0 : Integer.parseInt(query.replaceAll("from=(\\d+).*", "$1"));
+        int hold = query == null ? 0 : Integer.parseInt(query.replaceAll(".*hold_ms=(\\d+).*", "$1"));
         byte[] body;
         synchronized (states) {
-            for (int i = 0; i < 200 && from >= version; i++) {
-                try {
-                    states.wait(50);
-                } catch (InterruptedException e) {
-                    Thread.currentThread().interrupt();
-                }
+            int call = calls++;
+            long until = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(turnMs + hold);
+            heldUntil = until;
+            pause(turnMs);
+            while (from >= version && System.nanoTime() < until || call < silentBefore) {
+                pause(50);
             }
             body = json(from).getBytes(StandardCharsets.UTF_8);
         }
@@ -188,6 +202,32 @@
         exchange.close();
     }
 
+    private void pause(long millis) {
+        try {
+            if (millis > 0) {
+                states.wait(millis);
+            }
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    /**
+     * The open watch falls silent, and another then waits its turn for so long. Returns when what it misses
+     * counts as told, by {@link System#nanoTime}: 6 s from now, or 2 s after its hold.
+     */
+    long silence(int turn) {
+        synchronized (states) {
+            while (heldUntil < System.nanoTime()) {
+                pause(50);
+            }
+            silentBefore = calls;
+            turnMs = turn;
+            return Math.max(System.nanoTime() + TimeUnit.SECONDS.toNanos(6),
+                    heldUntil + TimeUnit.SECONDS.toNanos(2));
+        }
+    }
+
     private String json(int from) {
         List<String> entries = new ArrayList<>();
         for (StandIn d : databases) {
--- a/src/test/java/crankwick/app/RulesIT.java
+++ b/src/test/java/crankwick/app/RulesIT.java
@@ -257,6 +257,48 @@
         }
     }
 
+    /** The settings say that lists are pushed: no less is to be heard of them, from the start on. */
+    @Test(dataProvider = "wires")
+    public void pushedListsAreWatchedToo(Wire wire) throws Exception {
+        try (Deployment d = new Deployment(wire, "push"); Deployment.Client client = d.client()) {
+            StandIn draining = lastServing(d, client);
+            d.list(draining, "draining");
+            for (int i = 0; i < 20; i++) {
+                assertEquals(client.ask(statement("map-view", 1000, "")).kind(), "SERVED");
+            }
+            assertEquals(d.ledger.at(draining.name).size(), 1);
+            kept(d);
+        }
+    }
+
+    /** The replica that reads go to: what they would do if they did not hear that it drains. */
+    private StandIn lastServing(Deployment d, Deployment.Client client) throws IOException {
+        Wire.Answer answer = client.ask(statement("map-view", 1000, ""));
+        return d.replicas().stream().filter(r -> answer.value().startsWith(r.name)).findAny().orElseThrow();
+    }
+
+    /**
+     * The operators' hard case: the open watch falls silent, databases begin to drain, and discovery has so
+     * many callers then that the watch opened anew waits 2 s for its turn.
+     */
+    @Test
+    public void drainMissedByASilentWatchIsHonouredInTime() throws Exception {
+        try (Deployment d = new Deployment(new PgWire()); Deployment.Client client = d.client()) {
+            long latest = d.silence(2_000) + TimeUnit.MILLISECONDS.toNanos(2_000 + 50);
+            for (StandIn replica : d.replicas()) {
+                d.list(replica, "draining");
+            }
+            while (System.nanoTime() < latest + TimeUnit.SECONDS.toNanos(1)) {
+                assertEquals(client.ask(statement("map-view", 1000, "")).kind(), "SERVED");
+                Thread.sleep(20);
+            }
+            List<StandIn.Seen> after = d.ledger.seen.stream().filter(seen -> seen.at() > latest).toList();
+            assertTrue(!after.isEmpty() && after.stream().allMatch(s -> s.server().equals("s-a")),
+                    after.toString());
+            kept(d);
+        }
+    }
+
     /** Guards against SIGHUP ending the program, and against a list that is no longer heard after it. */
     @Test(dataProvider = "wires")
     public void reloadMovesTheWatchAndSurvivesAnUnreadableFile(Wire wire) throws Exception {
