Decide sends anew that have not begun when their database is to leave

(1) A send that was decided before the news and whose connection came up after it was written all the same, up to the connect timeout late (DatabasePool.Link.onMessage starts whatever job waits); the Broker now asks for its recall when it reduces the news, and the attempt ends as never sent, so that the router decides with the list before it. What has begun goes on. (2) One instance of a zone's file that could not be read cost the whole file (DnsSdFile.parse threw), and a file that once could not be read was not looked at again until its text changed; now the rest counts, nobody is removed, and it is read again.

Lists of 1,024: no cap found below that on databases or proxies (descriptors bound connections, 2 MiB an answer).

--- a/src/main/java/crankwick/app/Main.java
+++ b/src/main/java/crankwick/app/Main.java
@@ -15,6 +15,7 @@
 import crankwick.tds.TdsFrontCodec;
 import java.io.IOException;
 import java.nio.file.Path;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CopyOnWriteArrayList;
@@ -91,7 +92,7 @@
         Service service = new Service(wire, file.settings(), System.nanoTime(), file.contracts(),
                 file.sockets(), transport, file.changes());
         var known = new Discovery.News(ListKind.RESTORED,
-                DnsSdFile.parse(file.zone(), zones));
+                DnsSdFile.parse(file.zone(), zones, new ArrayList<>()));
         service.start(file.listen(), file.sockets(), known, (loop, clock) -> new DnsSdFile(file.zone(),
                 () -> OperatorFile.read(path).zone(), zones, file.rereadEvery(), loop, service::onListed));
         return service;
--- a/src/main/java/crankwick/app/OperatorFile.java
+++ b/src/main/java/crankwick/app/OperatorFile.java
@@ -10,6 +10,7 @@
 import java.nio.file.Path;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -141,7 +142,12 @@
 
     private static List<?> databases(DnsSdFile.Zone zone, List<String> zones) {
         try {
-            return DnsSdFile.parse(zone, zones);
+            List<String> faults = new ArrayList<>();
+            List<?> hosts = DnsSdFile.parse(zone, zones, faults);
+            if (!faults.isEmpty()) {
+                throw new IllegalArgumentException(faults.get(0));
+            }
+            return hosts;
         } catch (IOException e) {
             throw new IllegalArgumentException(e.getMessage(), e);
         }
--- a/src/main/java/crankwick/broker/Broker.java
+++ b/src/main/java/crankwick/broker/Broker.java
@@ -1,12 +1,14 @@
 package crankwick.broker;
 
 import crankwick.Router;
+import crankwick.RouterApi.ListKind;
 import crankwick.RouterApi.Need;
 import crankwick.RouterApi.Repeat;
 import crankwick.RouterApi.Report;
 import crankwick.RouterApi.Result;
 import crankwick.RouterApi.Role;
 import crankwick.RouterApi.Settings;
+import crankwick.RouterApi.Standing;
 import crankwick.RouterApi;
 import crankwick.handover.Handover;
 import crankwick.handover.HandoverSettings;
@@ -123,6 +125,7 @@
         } else if (event instanceof BrokerEvent.Listed e) {
             toRouter.add(new RouterApi.Membership(e.kind(),
                     handover == null ? e.members() : handover.listed(e.kind(), e.members(), now)));
+            recallFrom(e);
         }
         tellRouter();
         if (handover != null) {
@@ -232,6 +235,21 @@
         return null;
     }
 
+    /** What has not begun at a database that is to leave is decided anew, once the router has the list. */
+    private void recallFrom(BrokerEvent.Listed e) {
+        Map<String, Standing> told = new HashMap<>();
+        e.members().forEach(m -> told.put(m.server(), m.standing()));
+        Standing unnamed = e.kind() == ListKind.FULL ? Standing.GONE : Standing.LIVE;
+        for (Life life : lives.values()) {
+            Standing standing = told.getOrDefault(life.server, unnamed);
+            boolean leaves = standing == Standing.DRAINING
+                    || standing == Standing.GONE && !settings.rules().onlyDrainingBinds();
+            if (life.inFlight && !life.written && leaves) {
+                effects.add(new Effect.Recall(life.call.ref()));
+            }
+        }
+    }
+
     private void onWritten(BrokerEvent.Written e) {
         Life life = lives.get(e.ref());
         if (life != null && life.inFlight && e.attempt() == life.attempts - 1) {
--- a/src/main/java/crankwick/broker/Effect.java
+++ b/src/main/java/crankwick/broker/Effect.java
@@ -10,6 +10,10 @@
     record Withdraw(long ref, int attempt) implements Effect {
     }
 
+    /** End an attempt of which nothing has been written yet; one that has begun goes on. */
+    record Recall(long ref) implements Effect {
+    }
+
     /** Give the caller its final answer. */
     record Answer(long ref, Reply reply) implements Effect {
     }
--- a/src/main/java/crankwick/discovery/DnsSdFile.java
+++ b/src/main/java/crankwick/discovery/DnsSdFile.java
@@ -92,16 +92,24 @@
         try {
             String text = Files.readString(zone.file());
             if (!text.equals(last)) {
+                List<String> faults = new ArrayList<>();
+                List<Host> hosts = parse(zone, zones, faults);
+                if (!faults.isEmpty()) {
+                    LOG.warn("{} can't be read in part: {}", zone.file().getFileName(), faults.get(0));
+                }
+                listener.accept(new News(faults.isEmpty() ? ListKind.FULL : ListKind.CHANGES, hosts));
                 last = text;
-                listener.accept(new News(ListKind.FULL, parse(zone, zones)));
             }
-        } catch (IOException | IllegalArgumentException e) {
+        } catch (IOException e) {
             LOG.warn("{} can't be read, the list stays: {}", zone.file().getFileName(), e.getMessage());
         }
     }
 
-    /** The databases that a zone's file names; throws where it is no such file. */
-    public static List<Host> parse(Zone zone, List<String> zones) throws IOException {
+    /**
+     * The databases that a zone's file names; throws where it is no such file. What can't be read of one is
+     * added to {@code faults}, and the database left out.
+     */
+    public static List<Host> parse(Zone zone, List<String> zones, List<String> faults) throws IOException {
         List<Name> instances = new ArrayList<>();
         Map<Name, SRVRecord> places = new HashMap<>();
         Map<Name, TXTRecord> texts = new HashMap<>();
@@ -124,10 +132,15 @@
             SRVRecord place = places.get(instance);
             InetAddress address = place == null ? null : addresses.get(place.getTarget());
             if (address == null || !texts.containsKey(instance)) {
-                throw new IllegalArgumentException(instance + " lacks its SRV, A or TXT");
+                faults.add(instance + " lacks its SRV, A or TXT");
+                continue;
+            }
+            try {
+                hosts.add(new Host(member(instance, texts.get(instance), zones),
+                        new InetSocketAddress(address, place.getPort())));
+            } catch (IllegalArgumentException e) {
+                faults.add(instance + ": " + e.getMessage());
             }
-            hosts.add(new Host(member(instance, texts.get(instance), zones),
-                    new InetSocketAddress(address, place.getPort())));
         }
         return hosts;
     }
@@ -141,13 +154,9 @@
             }
         }
         Role role = "read-write".equals(facts.get("mode")) ? Role.PRIMARY : Role.UNKNOWN;
-        try {
-            return new Member(instance.getLabelString(0), zones.indexOf(facts.getOrDefault("zone", "")),
-                    Long.parseLong(facts.getOrDefault("cell", "")), role,
-                    ListCodec.standing(facts.getOrDefault("state", "up")),
-                    Long.parseLong(facts.getOrDefault("started_ms", "0")) * 1_000);
-        } catch (NumberFormatException e) {
-            throw new IllegalArgumentException(instance + ": cell or started_ms is not a number", e);
-        }
+        return new Member(instance.getLabelString(0), zones.indexOf(facts.getOrDefault("zone", "")),
+                Long.parseLong(facts.getOrDefault("cell", "")), role,
+                ListCodec.standing(facts.getOrDefault("state", "up")),
+                Long.parseLong(facts.getOrDefault("started_ms", "0")) * 1_000);
     }
 }
--- a/src/main/java/crankwick/net/DatabasePool.java
+++ b/src/main/java/crankwick/net/DatabasePool.java
@@ -287,6 +287,12 @@
             return true;
         }
 
+        void recall() {
+            if (!greeted || started.compareAndSet(false, true)) {
+                discard(Result.NOT_SENT);
+            }
+        }
+
         /** Ends the connection, and with {@code result} what it still carried. */
         void discard(Result result) {
             if (gone) {
@@ -379,6 +385,14 @@
         }
     }
 
+    /** Ends an attempt of which nothing has been written, and the connection that it waits for. */
+    void recall(long ref) {
+        Attempt attempt = attempts.get(ref);
+        if (attempt != null && attempt.link != null && attempt.link.job == attempt) {
+            attempt.link.recall();
+        }
+    }
+
     void probe(String server) {
         begin(new Probe(server));
     }
--- a/src/main/java/crankwick/net/EffectRunner.java
+++ b/src/main/java/crankwick/net/EffectRunner.java
@@ -58,6 +58,8 @@
             front.answer(e.ref(), e.reply());
         } else if (effect instanceof Effect.Withdraw e) {
             pool.withdraw(e.ref());
+        } else if (effect instanceof Effect.Recall e) {
+            pool.recall(e.ref());
         } else if (effect instanceof Effect.Arm e) {
             loop.after(e.delay(), () -> tell(e.event()));
         } else if (effect instanceof Effect.Probe e) {
--- a/src/test/java/crankwick/app/Deployment.java
+++ b/src/test/java/crankwick/app/Deployment.java
@@ -59,7 +59,8 @@
     }
 
     final Wire wire;
-    private final String lists;
+    private final String part;
+    private final String instead;
     final StandIn.Ledger ledger = new StandIn.Ledger();
     final List<StandIn> databases = new ArrayList<>();
     final List<String> log = new CopyOnWriteArrayList<>();
@@ -76,18 +77,23 @@
     /** Watches that are open now are never answered. */
     private int silentBefore;
     private int calls;
+    /** Databases of other groups that the list names besides. */
+    volatile int others;
+    /** An entry that can't be read stands before the rest. */
+    volatile boolean spoilt;
     /** How long a call waits its turn; until when the last one is held. */
     private int turnMs;
     private long heldUntil;
 
     Deployment(Wire wire) throws IOException, InterruptedException {
-        this(wire, "ask");
+        this(wire, "", "");
     }
 
-    /** {@code lists} is how the settings say that lists come: they are to be asked for, or pushed. */
-    Deployment(Wire wire, String lists) throws IOException, InterruptedException {
+    /** Of the operator's file and of the settings in it, one part reads otherwise. */
+    Deployment(Wire wire, String part, String instead) throws IOException, InterruptedException {
         this.wire = wire;
-        this.lists = lists;
+        this.part = part;
+        this.instead = instead;
         for (String name : List.of("s-a", "s-b", "s-c")) {
             databases.add(new StandIn(name, name.equals("s-a") ? "read-write" : "read-only", wire, ledger));
             states.put(name, "up");
@@ -179,7 +185,7 @@
 
     private String operatorFile() throws IOException {
         return Files.readString(OPERATOR_FILE).replace("127.0.0.1:1433", "127.0.0.1:0")
-                .replace("stations.zone", zoneFile).replace("\"ask\"", '"' + lists + '"');
+                .replace("stations.zone", zoneFile).replace(part, instead);
     }
 
     private void list(HttpExchange exchange) throws IOException {
@@ -230,8 +236,14 @@
 
     private String json(int from) {
         List<String> entries = new ArrayList<>();
+        for (int i = 0; i < others; i++) {
+            entries.add("{\n  \"id\": \"s-" + (10_000 + i) + "\",\n  \"addr\": \"127.0.0.1:1\",\n"
+                    + "  \"zone\": \"ulemiste\",\n  \"cell\": " + (1 + i / 5)
+                    + ",\n  \"state\": \"up\",\n  \"started_ms\": 0\n}");
+        }
         for (StandIn d : databases) {
-            entries.add("{\"id\":\"" + d.name + "\",\"addr\":\"127.0.0.1:" + d.listener.getLocalPort()
+            entries.add((spoilt && d.name.equals("s-a") ? "{\"id\":\"s-x\",\"state\":\"odd\"}," : "")
+                    + "{\"id\":\"" + d.name + "\",\"addr\":\"127.0.0.1:" + d.listener.getLocalPort()
                     + "\",\"zone\":\"ulemiste\",\"cell\":0,\"state\":\"" + states.get(d.name)
                     + "\",\"mode\":\"" + d.mode + "\",\"started_ms\":0}");
         }
@@ -242,7 +254,9 @@
     private void writeZone() throws IOException {
         StringBuilder zone = new StringBuilder("$TTL 5\ndb.stations.example. IN A 127.0.0.1\n");
         for (StandIn d : databases) {
-            zone.append("@ IN PTR ").append(d.name).append("._tds._tcp.stations.example.\n").append(d.name)
+            zone.append(spoilt ? "@ IN PTR nowhere._tds._tcp.stations.example.\n" : "")
+                    .append("@ IN PTR ").append(d.name).append("._tds._tcp.stations.example.\n")
+                    .append(d.name)
                     .append(" IN SRV 0 0 ").append(d.listener.getLocalPort())
                     .append(" db.stations.example.\n").append(d.name)
                     .append(" IN TXT zone=ulemiste cell=0 mode=").append(d.mode)
--- a/src/test/java/crankwick/app/RulesIT.java
+++ b/src/test/java/crankwick/app/RulesIT.java
@@ -257,11 +257,13 @@
         }
     }
 
-    /** The settings say that lists are pushed: no less is to be heard of them, from the start on. */
+    /** Lists are pushed, says the file, and one entry can't be read: no drain is missed for either. */
     @Test(dataProvider = "wires")
-    public void pushedListsAreWatchedToo(Wire wire) throws Exception {
-        try (Deployment d = new Deployment(wire, "push"); Deployment.Client client = d.client()) {
+    public void drainsOfPushedAndOfPartlySpoiltListsAreHeard(Wire wire) throws Exception {
+        try (Deployment d = new Deployment(wire, "\"ask\"", "\"push\"");
+                Deployment.Client client = d.client()) {
             StandIn draining = lastServing(d, client);
+            d.spoilt = true;
             d.list(draining, "draining");
             for (int i = 0; i < 20; i++) {
                 assertEquals(client.ask(statement("map-view", 1000, "")).kind(), "SERVED");
@@ -271,6 +273,27 @@
         }
     }
 
+    /** A connection comes up late, its database begins to drain meanwhile: the write goes to the next. */
+    @Test(dataProvider = "wires")
+    public void sendThatHasNotBegunIsDecidedAnewWhenItsDatabaseDrains(Wire wire) throws Exception {
+        try (Deployment d = new Deployment(wire, "connect-timeout-ms = 250.0", "connect-timeout-ms = 9000.0");
+                Deployment.Client client = d.client()) {
+            StandIn old = d.primary();
+            old.greetMs = 3_000;
+            client.send(statement("reserve", 9_000, ""));
+            while (old.opened.get() == 0) {
+                Thread.sleep(5);
+            }
+            old.mode = "read-only";
+            d.replicas().get(0).mode = "read-write";
+            d.list(old, "draining");
+            served(client.answer(), "s-b");
+            Thread.sleep(2_500);
+            assertEquals(d.ledger.at(old.name), List.of());
+            kept(d);
+        }
+    }
+
     /** The replica that reads go to: what they would do if they did not hear that it drains. */
     private StandIn lastServing(Deployment d, Deployment.Client client) throws IOException {
         Wire.Answer answer = client.ask(statement("map-view", 1000, ""));
--- a/src/test/java/crankwick/app/StandIn.java
+++ b/src/test/java/crankwick/app/StandIn.java
@@ -43,6 +43,8 @@
     volatile String word = "VALUE";
     private int answers;
     volatile int delayMs;
+    /** A new connection is greeted after so long. */
+    volatile int greetMs;
     /** Every fifth new connection is reset, and what had been answered on is reset by the next statement. */
     volatile boolean resets;
     private int accepted;
@@ -70,14 +72,14 @@
     }
 
     private interface Task {
-        void run() throws IOException;
+        void run() throws IOException, InterruptedException;
     }
 
     private static void daemon(Task task) {
         Thread thread = new Thread(() -> {
             try {
                 task.run();
-            } catch (IOException e) {
+            } catch (IOException | InterruptedException e) {
                 // The peer has gone or the test is over; what matters is in the ledger.
                 Thread.currentThread().interrupt();
             }
@@ -86,7 +88,7 @@
         thread.start();
     }
 
-    private void serve(Socket socket) throws IOException {
+    private void serve(Socket socket) throws IOException, InterruptedException {
         try (socket) {
             socket.setTcpNoDelay(true);
             DataInputStream in = new DataInputStream(socket.getInputStream());
@@ -95,6 +97,7 @@
                 return;
             }
             opened.incrementAndGet();
+            Thread.sleep(greetMs);
             wire.greet(socket, in);
             for (int asked = 0;; asked++) {
                 socket.setSoTimeout(idleMs);
--- a/src/test/java/crankwick/app/StartIT.java
+++ b/src/test/java/crankwick/app/StartIT.java
@@ -33,6 +33,25 @@
         assertTrue(sum <= MOST_MB, flags());
     }
 
+    /** In the least memory, with a list of 1,024 databases that comes indented. */
+    @Test
+    public void listOf1024DatabasesIsCarried() throws Exception {
+        System.setProperty("crankwick.jvm", flags());
+        try (Deployment d = new Deployment(new PgWire()); Deployment.Client client = d.client()) {
+            d.others = 1_021;
+            for (int i = 0; i < 4; i++) {
+                StandIn leaving = d.replicas().get(i % 2);
+                d.list(leaving, "draining");
+                String value = client.ask("/* id=" + i + ",c=map-view,d=2000,cluster=0 */ SELECT 1").value();
+                assertEquals(value, d.replicas().get(1 - i % 2).name + ":" + i);
+                d.list(leaving, "up");
+            }
+            assertTrue(d.log.stream().noneMatch(line -> line.contains("Error")), d.log.toString());
+        } finally {
+            System.clearProperty("crankwick.jvm");
+        }
+    }
+
     /** Guards against a start that bootstraps what no class archive holds: seconds on part of a core. */
     @Test
     public void startAndFirstRequestLoadNoBootstrapMachinery() throws Exception {
