--- a/src/main/java/crankwick/discovery/WatchKeeper.java
+++ b/src/main/java/crankwick/discovery/WatchKeeper.java
@@ -23,8 +23,10 @@
      */
     static final long HOLD_LEAST = 2_000 * MS;
     static final long HOLD_MOST = 4_000 * MS;
-    /** The hold of a watch's first call: its answer says that the list is current, and the watch is open. */
-    static final long HOLD_FIRST = 250 * MS;
+    /** The hold of a watch opened anew: its answer says that the list is current again. */
+    static final long HOLD_ANEW = 250 * MS;
+    /** That of the very first call, drawn up to twice as long: a start has no time to read lists. */
+    static final long HOLD_START = 1_000 * MS;
     /** A connection to discovery that is not up by then is tried again. */
     static final long CONNECT = 750 * MS;
     /** An answer may come this long after its hold: the round trip, and a late loop on part of a core. */
@@ -174,7 +176,8 @@
 
     private void open(long now) {
         open = ++opened;
-        hold = goesOn ? HOLD_LEAST + random.nextLong(HOLD_MOST - HOLD_LEAST) : HOLD_FIRST;
+        hold = goesOn ? HOLD_LEAST + random.nextLong(HOLD_MOST - HOLD_LEAST)
+                : whole || troubleSince < NEVER ? HOLD_ANEW : HOLD_START + random.nextLong(HOLD_START);
         heldFrom = now;
         dueAt = now + CONNECT;
         calls.open(open, whole ? WHOLE : version, hold);
