Play fleets' watches before discovery in the lab: lab drains

Need: the simulated fleets that check drains stood in a test, with a scheduler of its own beside the lab's, and could not be run for other fleets than the test's.

--- a/src/main/java/crankwick/app/Commands.java
+++ b/src/main/java/crankwick/app/Commands.java
@@ -4,6 +4,7 @@
 import crankwick.emulate.Emulation;
 import crankwick.emulate.MemberList;
 import crankwick.handover.HandoverSettings;
+import crankwick.lab.DrainLab;
 import crankwick.lab.HandoverLab;
 import crankwick.net.CodecFilter;
 import crankwick.pg.PgMemberCodec;
@@ -145,7 +146,8 @@
 
     /** Experiments in simulated time. */
     @Command(name = "lab", description = "Experiments in simulated time.", mixinStandardHelpOptions = true,
-            versionProvider = Version.class, subcommands = LabHandover.class)
+            versionProvider = Version.class,
+            subcommands = {Commands.LabHandover.class, Commands.LabDrains.class})
     static final class Lab implements Runnable {
         @Spec
         private CommandSpec spec;
@@ -157,6 +159,45 @@
         }
     }
 
+    /** A fleet's watches before discovery. */
+    @Command(name = "drains", description = "Plays a fleet's watches before one discovery that falls silent, "
+            + "resets and goes down, and checks that every drain is heard in time. Exit code 1 if not.",
+            mixinStandardHelpOptions = true, versionProvider = Version.class)
+    static final class LabDrains implements Callable<Integer> {
+        @Option(names = "--proxies", defaultValue = "100", description = "1 to 1024; default "
+                + "${DEFAULT-VALUE}.")
+        private int proxies;
+        @Option(names = "--rounds", defaultValue = "100", description = "Troubles with a drain each, 1 to "
+                + "10000; default ${DEFAULT-VALUE}.")
+        private int rounds;
+        @Option(names = "--seed", defaultValue = "1", description = "Default ${DEFAULT-VALUE}.")
+        private long seed;
+        @Option(names = "--turn-ms", defaultValue = "1900", description = "How long discovery takes to "
+                + "answer all proxies once, 0 to 60000; default ${DEFAULT-VALUE}.")
+        private long turn;
+        @Option(names = "--late-ms", defaultValue = "0", description = "How late each timer is, 0 to 60000: "
+                + "shows that the check finds what it is for; default ${DEFAULT-VALUE}.")
+        private long late;
+        @Spec
+        private CommandSpec spec;
+
+        @Override
+        public Integer call() {
+            require(spec, proxies >= 1 && proxies <= 1_024, "--proxies takes 1 to 1024");
+            require(spec, rounds >= 1 && rounds <= 10_000, "--rounds takes 1 to 10000");
+            require(spec, turn >= 0 && turn <= 60_000, "--turn-ms takes 0 to 60000");
+            require(spec, late >= 0 && late <= 60_000, "--late-ms takes 0 to 60000");
+            DrainLab lab = new DrainLab(
+                    new DrainLab.Options(proxies, rounds, seed, turn * 1_000, late * 1_000));
+            PrintWriter out = spec.commandLine().getOut();
+            out.println(new Gson().toJson(lab.run()));
+            if (lab.violation() != null) {
+                out.println("violation: " + lab.violation());
+            }
+            return lab.violation() == null ? 0 : 1;
+        }
+    }
+
     /** Changes of primaries, explored by seed. */
     @Command(name = "handover", description = "Runs changes of primaries of all kinds under load, and checks "
             + "each step. Exit code 1 on any violation, with its trace.", mixinStandardHelpOptions = true,
--- a/src/test/java/crankwick/app/CommandsIT.java
+++ b/src/test/java/crankwick/app/CommandsIT.java
@@ -41,6 +41,7 @@
         return new Object[][] {{new String[] {}}, {new String[] {"nonsense"}}, {new String[] {"lab"}},
             {new String[] {"lab", "handover", "--groups", "0"}},
             {new String[] {"lab", "handover", "--seed", "x"}},
+            {new String[] {"lab", "drains", "--proxies", "0"}},
             {new String[] {"lab", "handover", "--fault", "nonsense"}}, {new String[] {"serve"}},
             {new String[] {"emulate", "--wire", "x"}},
             {new String[] {"serve", "--nonsense"}}, {new String[] {"serve", "a", "b"}}};
@@ -56,7 +57,8 @@
 
     @DataProvider
     public Object[][] commands() {
-        return new Object[][] {{""}, {"serve"}, {"simhost"}, {"lab"}, {"lab handover"}, {"emulate"}};
+        return new Object[][] {{""}, {"serve"}, {"simhost"}, {"lab"}, {"lab handover"}, {"lab drains"},
+            {"emulate"}};
     }
 
     @Test(dataProvider = "commands")
