Keep looking at a zone's file whatever its reading throws, and say each fault once

Read again: since an unreadable file is read anew at each look (every 200 ms by default), its one line came as often; and what a reader throws beside IOException would have ended the looking, for look() arms itself after read(). Both in DnsSdFile.read. A fault is now logged once until it changes or the file is read, and any exception keeps the list. The platform's front does not read zone files.

--- a/src/main/java/crankwick/discovery/DnsSdFile.java
+++ b/src/main/java/crankwick/discovery/DnsSdFile.java
@@ -44,6 +44,8 @@
     private final Consumer<News> listener;
     private Zone zone;
     private String last = "";
+    /** What was wrong when it was last looked at: a line is worth it once. */
+    private String fault = "";
     private boolean watching;
 
     /** {@code zones} names them in the settings' order; the file is looked at every so many microseconds. */
@@ -99,9 +101,13 @@
                 }
                 listener.accept(new News(faults.isEmpty() ? ListKind.FULL : ListKind.CHANGES, hosts));
                 last = text;
+                fault = "";
             }
-        } catch (IOException e) {
-            LOG.warn("{} can't be read, the list stays: {}", zone.file().getFileName(), e.getMessage());
+        } catch (IOException | RuntimeException e) {
+            if (!fault.equals(e.toString())) {
+                LOG.warn("{} can't be read, the list stays: {}", zone.file().getFileName(), e.getMessage());
+            }
+            fault = e.toString();
         }
     }
 
