--- a/src/main/java/crankwick/discovery/WatchKeeper.java
+++ b/src/main/java/crankwick/discovery/WatchKeeper.java
@@ -57,6 +57,8 @@
     private boolean whole;
     /** The whole list was asked for because an answer was older than the list; such another is the truth. */
     private boolean renumbered;
+    /** The version last answered in part; the same in part again is gone on from. */
+    private long inPart = WHOLE;
     /** The call that is open, or 0; calls are numbered from 1. */
     private long open;
     private long opened;
@@ -117,8 +119,8 @@
     /**
      * A call was answered by a list that can be read, {@code complete} if all its entries can. True if the
      * list is to be taken: it is not older than the one had, or the numbering has begun anew. What was not
-     * complete is asked for again after a pause; an answer that brings nothing is not followed at once where
-     * its hold was far from over.
+     * complete is asked for again once, after a pause; what then can't be read still is gone on from. An
+     * answer that brings nothing is not followed at once where its hold was far from over.
      */
     public boolean answered(long call, long answered, boolean complete, long now) {
         if (call != open) {
@@ -128,8 +130,10 @@
         boolean older = answered < version;
         boolean taken = !older || renumbered;
         renumbered = older && !taken;
-        whole = renumbered || whole && !complete;
-        if (!taken || !complete) {
+        boolean again = !taken || !complete && inPart != answered;
+        inPart = complete ? WHOLE : answered;
+        whole = renumbered || whole && again;
+        if (again) {
             pause(now);
             return taken;
         }
--- a/src/test/java/crankwick/app/StandIn.java
+++ b/src/test/java/crankwick/app/StandIn.java
@@ -10,6 +10,7 @@
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 
 /** A small database: answers as it is told to, and notes what it was sent and when. */
@@ -22,6 +23,8 @@
     static final class Ledger {
         final List<Seen> seen = new CopyOnWriteArrayList<>();
         final List<String> broken = new CopyOnWriteArrayList<>();
+        /** Values whose copy the machine held up past the time within which a copy must come to light. */
+        final Set<String> lateCopies = ConcurrentHashMap.newKeySet();
         private final Set<String> inFlight = ConcurrentHashMap.newKeySet();
 
         long sent(String id) {
@@ -33,6 +36,9 @@
         }
     }
 
+    /** A proxy rests a connection for 10 ms after an answer; a copy that left by then must not be taken. */
+    private static final long COPY_BY = TimeUnit.MILLISECONDS.toNanos(8);
+
     final String name;
     final ServerSocket listener;
     volatile String mode;
@@ -137,8 +143,11 @@
                 return false;
             }
             ledger.inFlight.remove(id);
+            long from = System.nanoTime();
             for (byte[] part : parts(verdict, verdict(verdict, name + ":" + id))) {
+                noteIfLate(from, id);
                 socket.getOutputStream().write(part);
+                noteIfLate(from, id);
                 Thread.sleep(1);
             }
             return true;
@@ -149,6 +158,12 @@
         }
     }
 
+    private void noteIfLate(long from, String id) {
+        if (System.nanoTime() - from > COPY_BY) {
+            ledger.lateCopies.add(name + ":" + id);
+        }
+    }
+
     private synchronized List<byte[]> parts(String instead, Wire.Verdict verdict) {
         byte[][] spoilt = wire.spoilt(verdict);
         if (instead.equals("SPOILT") && answers++ % 3 == 2) {
