Tell a rush by all replicas together, and try a read where it was asked for before

In the first 10 s 0.47 members a request had never been heard, each asked by each proxy (0.3 probes a request; perhapsFreshEnough took none of them). Then replicas fell behind in earnest, by 1 to 10 s: mean answers rose from 185 to 367 and 474 to 780 ms, while each proxy met a replica every 6 s and its knowledge faded to calm in 2 s (latency()), so inTime let all go. Work out for 5 calm durations was withdrawn as lost (lost()) at databases that go on with it: 0.06 a request, done twice; reports there hold no load, and showsFree took that for free. The limit for each replica does not bind either: one in flight for each of 100 proxies.

Change. latency() fades to what replicas on the whole take; lost() compares with what is expected in the rush; a replica is taken to be as far behind as when last heard, or level if never, where it checks reads itself; where reports tell no load and gateways are many, reads go to a primary only while primaries on the whole answer as in calm.

--- a/src/main/java/crankwick/Router.java
+++ b/src/main/java/crankwick/Router.java
@@ -64,6 +64,8 @@
     /** A member's latency in usual durations: the mean over that quantile, unless it has shown another. */
     private static final double LATENCY_CALM = 1.8;
     private static final double LATENCY_GAIN = 0.2;
+    /** The same of all members of a role, attempts that were withdrawn or timed out among them. */
+    private static final double ROLE_GAIN = 0.05;
     /** What was learnt or reported of a member fades, so that it is tried again. */
     private static final long LATENCY_MEMORY = 2 * SECOND;
     private static final long QUEUE_MEMORY = SECOND;
@@ -123,6 +125,8 @@
     private static final long GONE_MEMORY = 30 * SECOND;
     /** Outcomes that the server itself has given, and those that count against it. */
     private static final Set<Result> LIFE = EnumSet.of(Result.OK, Result.ERROR, Result.FULL, Result.MISS);
+    /** Outcomes that tell how long an answer takes, or has taken at least. */
+    private static final Set<Result> TIMED = EnumSet.of(Result.OK, Result.TIMEOUT, Result.CANCELLED);
     private static final Set<Result> FAILURES =
             EnumSet.of(Result.ERROR, Result.RESET, Result.FULL, Result.UNREACHABLE, Result.DROPPED);
 
@@ -149,6 +153,8 @@
     private double sends;
     private long sendsAt;
     private double fleetUse = 1;
+    private final double[] roleLatency = new double[Role.values().length];
+    private final long[] roleLatencyAt = new long[roleLatency.length];
     private long discoveryBackoff = DISCOVERY_BACKOFF;
     private long now;
     private long belief;
@@ -403,6 +409,11 @@
         if (commit) {
             remember(p, o.position());
         }
+        if (TIMED.contains(o.result())) {
+            double before = roleLatency(s.role);
+            roleLatency[s.role.ordinal()] = before + ROLE_GAIN * (o.duration() / usual(p) - before);
+            roleLatencyAt[s.role.ordinal()] = now;
+        }
         if (o.result() == Result.OK) {
             sample(s, p, o.duration());
             readmit(s, p);
@@ -442,8 +453,18 @@
     }
 
     private double latency(Server s) {
+        double otherwise = s.role == Role.REPLICA ? roleLatency(s.role) : LATENCY_CALM;
         return s.inFlight > 0 ? s.latency
-                : LATENCY_CALM + left(s.latencyAt, LATENCY_MEMORY) * (s.latency - LATENCY_CALM);
+                : otherwise + left(s.latencyAt, LATENCY_MEMORY) * (s.latency - otherwise);
+    }
+
+    /**
+     * What members of a role take lately on the whole. With many gateways each meets one of them every few
+     * seconds, so only all together tell it of a rush in time. It may hurt where some groups are slow alone.
+     */
+    private double roleLatency(Role role) {
+        int i = role.ordinal();
+        return LATENCY_CALM + left(roleLatencyAt[i], LATENCY_MEMORY) * (roleLatency[i] - LATENCY_CALM);
     }
 
     /** Usual durations that an answer takes there: as its answers have it, or as its report does. */
@@ -494,12 +515,13 @@
     }
 
     /**
-     * Where replicas check reads themselves: one that was close behind when last heard has likely passed the
-     * token since, for it goes on applying. A miss costs a round trip and sends the read back to the wait.
+     * Where replicas check reads themselves: one is taken to be as far behind as when last heard, or level
+     * if never. A miss costs a round trip, tells the position, and sends the read back to the wait.
      */
     private boolean perhapsFreshEnough(Server s, Pending p) {
-        return s.position != Long.MIN_VALUE && s.positionAt - s.position < CLOSE_BEHIND
-                && owed(p) - s.position < Math.max(CLOSE_BEHIND, now - s.positionAt)
+        boolean close = s.positionAt - s.position < CLOSE_BEHIND;
+        long gained = Math.max(close ? CLOSE_BEHIND : 0, now - s.positionAt);
+        return (s.position == Long.MIN_VALUE || owed(p) - s.position < gained)
                 && now - s.missedAt > MISS_REST;
     }
 
@@ -537,11 +559,13 @@
     /**
      * Exception to the design: where replicas known past its token are only full, a read (which so does not
      * lag) may use a primary that its own fresh report shows idle, with no write out. It guards against few
-     * crowded replicas beside an idle primary; it may hurt when many gateways read the same report.
+     * crowded replicas beside an idle primary; it may hurt when many gateways read the same report. Where
+     * they are many and no report tells load, primaries on the whole must answer as in calm.
      */
     private boolean spare(Pending p) {
         Server primary = p.group.primary;
-        return primary != null && showsFree(primary, SPARE_USE) && full(p)
+        return primary != null && (reportsLoad || !crowd() || roleLatency(Role.PRIMARY) <= LATENCY_CALM)
+                && showsFree(primary, SPARE_USE) && full(p)
                 && p.group.out.values().stream().noneMatch(o -> o.at == primary && needsPrimary(o));
     }
 
@@ -653,11 +677,15 @@
      * own limits can't keep its log's thread from starving. It may hurt where lag has another cause.
      */
     private boolean crowded(Server s, Pending p) {
-        return settings.instances() > LIMIT_START && now - s.reportAt <= FRESH && s.use > FULL_USE
-                && s.role == Role.REPLICA
+        return crowd() && now - s.reportAt <= FRESH && s.use > FULL_USE && s.role == Role.REPLICA
                 && s.positionAt - s.position > CROWDED_LAG * p.kind.worth() / mostWorth;
     }
 
+    /** More gateways than a member bears requests: their own limits, one request at least, bind nobody. */
+    private boolean crowd() {
+        return settings.instances() > LIMIT_START;
+    }
+
     /** No member is known, as after a restart with an empty list: another gateway may know one. */
     private boolean unknown(Group g) {
         for (Server s : g.members) {
@@ -855,9 +883,11 @@
         }
     }
 
-    /** Long out at a member that answers probes and shows free cores: then its answer is likely lost. */
+    /** Much longer out than is expected at a member that answers and shows no load: likely lost. */
     private boolean lost(Pending p) {
-        return now - p.sentAt > OVERDUE * calm(p) && now + calm(p) < useful(p) && showsFree(p.at, FULL_USE);
+        double expected = Math.max(expected(p.at), roleLatency(p.at.role));
+        return now - p.sentAt > OVERDUE * usual(p) * expected && now + calm(p) < useful(p)
+                && showsFree(p.at, FULL_USE);
     }
 
     private boolean showsFree(Server s, double use) {
