--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: build test lint run
+.PHONY: build test lint run benchmark
 
 JAVA_OPTIONS = -XX:+UseSerialGC -XX:TieredStopAtLevel=1 -XX:SharedArchiveFile=target/crankwick.jsa -Xmx48m
 
@@ -14,3 +14,7 @@
 
 run:
 	$(if $(CONFIG),ROUTER_CONFIG=$(CONFIG)) java $(JAVA_OPTIONS) -jar target/crankwick.jar serve $(OPERATOR)
+
+benchmark:
+	mvn -q test-compile dependency:build-classpath -Dmdep.outputFile=target/classpath -Dmdep.includeScope=test
+	java -Xmx2g -cp target/test-classes:target/classes:$$(cat target/classpath) org.openjdk.jmh.Main
