Answer what comes in behind another request after SIGTERM before the process ends

After SIGTERM plus 0.45 s a connection with a request still out goes on being read (ClientFront.onMessage takes it while the session is not ending). What came in there kept its client's whole time, while the process ends at the longest deadline plus 0.6 s (Service.awaitEnd): a request later than that on a hung database was closed without an answer. Now such a request is given what is left of the time, less 0.15 s for the answer.

The new test fails on both wires without it (CLOSED where an answer is owed) and passes with it.

--- a/src/main/java/crankwick/app/Service.java
+++ b/src/main/java/crankwick/app/Service.java
@@ -28,6 +28,8 @@
     private static final long LINGER = 450_000;
     private static final long CLOSE_CHECK = 10_000;
     private static final long CLOSE_SLACK = 600_000;
+    /** The last answers are made so long before the end: a loop that is late on part of a core included. */
+    private static final long LAST_WORDS = 150_000;
     /** Shares of the descriptors; the rest is for discovery, files and the transport. */
     private static final double CLIENT_SHARE = 0.42;
     private static final double DATABASE_SHARE = 0.36;
@@ -97,8 +99,9 @@
     void close() {
         long longest = settings.settings.classes().stream().mapToLong(c -> c.deadline()).max().orElse(0);
         loop.after(LINGER, () -> {
-            front.close();
-            awaitEnd(clock.now() + longest + CLOSE_SLACK - LINGER);
+            long latest = clock.now() + longest + CLOSE_SLACK - LINGER;
+            front.close(latest - LAST_WORDS);
+            awaitEnd(latest);
         });
         try {
             closed.await(longest + CLOSE_SLACK + LINGER, TimeUnit.MICROSECONDS);
--- a/src/main/java/crankwick/net/ClientFront.java
+++ b/src/main/java/crankwick/net/ClientFront.java
@@ -151,6 +151,8 @@
     private long lastRef;
     private boolean ready;
     private boolean closing;
+    /** By then all has to be answered: a request that still comes in may want more time than is left. */
+    private long answerBy = Long.MAX_VALUE;
 
     /** {@code teams} says which logins are known. */
     public ClientFront(EffectRunner runner, List<RequestClass> classes, List<String> names,
@@ -185,9 +187,10 @@
         }
     }
 
-    /** Stops listening; each connection ends as soon as all that came in on it is answered. */
-    public void close() {
+    /** Stops listening; each connection ends once all that came in on it is answered, which is by then. */
+    public void close(long latest) {
         closing = true;
+        answerBy = latest;
         if (listener != null) {
             listener.closeSilently();
         }
@@ -277,10 +280,12 @@
                 throw new IllegalArgumentException("k is missing");
             }
             Slot slot = add(session, statement, null);
+            long wait = Math.min(statement.waitMs() * 1_000,
+                    Math.max(1, answerBy - runner.clock().now()));
             long after = statement.after() > 0 ? statement.after() * 1_000 : -1;
             runner.tell(new BrokerEvent.Taken(new Call(slot.ref, statement.id(), session.team, cls,
-                    statement.cluster(), statement.sessionNumber(), after, statement.waitMs() * 1_000,
-                    statement.key(), text.length())));
+                    statement.cluster(), statement.sessionNumber(), after, wait, statement.key(),
+                    text.length())));
         } catch (IllegalArgumentException e) {
             add(session, null, new FrontReply.Unreadable(e.getMessage()));
         }
--- a/src/test/java/crankwick/app/RulesIT.java
+++ b/src/test/java/crankwick/app/RulesIT.java
@@ -540,6 +540,25 @@
         }
     }
 
+    /** Guards against a request behind another after SIGTERM that wants more time than is left. */
+    @Test(dataProvider = "wires")
+    public void requestBehindAnotherAfterSigtermIsAnsweredBeforeTheEnd(Wire wire) throws Exception {
+        try (Deployment d = new Deployment(wire); Deployment.Client client = d.client()) {
+            d.databases.forEach(database -> database.word = "SILENT");
+            client.send(statement("reserve", 3000, ""));
+            Thread.sleep(100);
+            d.process.toHandle().destroy();
+            Thread.sleep(1_200);
+            client.send(statement("reserve", 3000, ""));
+            for (int i = 0; i < 2; i++) {
+                Wire.Answer answer = client.answer();
+                assertTrue(answer.kind().matches("FAILED|REFUSED"), i + ": " + answer);
+            }
+            assertTrue(d.process.waitFor(10, TimeUnit.SECONDS));
+            kept(d);
+        }
+    }
+
     /** Planned restarts must lose nothing: what is out is answered, and only then does the program end. */
     @Test(dataProvider = "wires")
     public void sigtermLosesNothingThatWasTaken(Wire wire) throws Exception {
