--- /dev/null
+++ b/src/test/java/crankwick/app/ClientsIT.java
@@ -0,0 +1,202 @@
+package crankwick.app;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.io.IOException;
+import java.net.Socket;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import org.testng.annotations.Test;
+
+/** Clients of all habits, and the end of the process, the same checks on both wires. */
+public class ClientsIT extends OnBothWires {
+    @Test(dataProvider = "wires")
+    public void statementThatCantBeReadFailsAlone(Wire wire) throws Exception {
+        try (Deployment d = new Deployment(wire); Deployment.Client client = d.client()) {
+            List<String> hints = List.of("id=1,c=map-view,d=480", "id=1,c=map-view,cluster=0",
+                    "id=1,d=480,cluster=0", "c=map-view,d=480,cluster=0", "id=1,c=none,d=480,cluster=0",
+                    "id=1,c=map-view,d=x,cluster=0", "id=1,c=map-view,d=-5,cluster=0", "",
+                    "id=1,c=map-view,d=480,cluster=99999999999999999999", "id=1,c=reserve,d=480,cluster=0",
+                    "id=1,c=map-view,d=480,cluster=0,after=x", "id=,c=map-view,d=480,cluster=0", ",,=,");
+            for (String hint : hints) {
+                assertEquals(client.ask("/* " + hint + " */ SELECT 1").kind(), "FAILED", hint);
+            }
+            assertEquals(client.ask("SELECT 1").kind(), "FAILED");
+            assertEquals(client.ask("/* id=1").kind(), "FAILED");
+            assertEquals(client.ask(statement("map-view", 1000, "")).kind(), "SERVED");
+            assertEquals(d.ledger.seen.size(), 1);
+            kept(d);
+        }
+    }
+
+    @Test(dataProvider = "wires")
+    public void nonsenseEndsOnlyItsOwnConnection(Wire wire) throws Exception {
+        try (Deployment d = new Deployment(wire); Deployment.Client client = d.client()) {
+            for (byte[] bytes : wire.nonsense()) {
+                for (boolean loggedIn : new boolean[] {false, true}) {
+                    try (Socket socket = d.connect()) {
+                        if (loggedIn) {
+                            wire.login(socket, "collectors");
+                        }
+                        socket.getOutputStream().write(bytes);
+                        socket.shutdownOutput();
+                        readToEnd(socket);
+                    }
+                }
+                assertEquals(client.ask(statement("map-view", 1000, "")).kind(), "SERVED");
+            }
+            kept(d);
+        }
+    }
+
+    /** Guards against connections held by who says nothing, stops midway, or goes on beyond all bounds. */
+    @Test(dataProvider = "wires")
+    public void whoDoesNotAskInTimeOrWithoutEndIsLetGo(Wire wire) throws Exception {
+        try (Deployment d = new Deployment(wire); Deployment.Client client = d.client()) {
+            assertEquals(client.ask(statement("map-view", 1000, "")).kind(), "SERVED");
+            List<Socket> silent = new ArrayList<>();
+            for (int i = 0; i < 400; i++) {
+                silent.add(d.connect());
+            }
+            for (byte[] bytes : new byte[][] {{0}, wire.command(statement("map-view", 1000, ""), 1)}) {
+                silent.add(d.connect());
+                if (bytes.length > 1) {
+                    wire.login(silent.get(silent.size() - 1), "collectors");
+                }
+                silent.get(silent.size() - 1).getOutputStream().write(bytes);
+            }
+            for (int i = 0; i < 40; i++) {
+                try (Deployment.Client more = d.client()) {
+                    assertEquals(more.ask(statement("map-view", 1000, "")).kind(), "SERVED");
+                }
+                assertEquals(client.ask(statement("map-view", 1000, "")).kind(), "SERVED");
+            }
+            long start = System.nanoTime();
+            for (Socket socket : silent) {
+                readToEnd(socket);
+                socket.close();
+            }
+            assertTrue(System.nanoTime() - start < TimeUnit.SECONDS.toNanos(8));
+            kept(d);
+        }
+    }
+
+    /** Guards against a reset that destroys the error, and against memory for whatever is said to come. */
+    @Test(dataProvider = "wires")
+    public void tooLargeACommandIsToldSoBehindWhatWasAskedBefore(Wire wire) throws Exception {
+        try (Deployment d = new Deployment(wire); Deployment.Client client = d.client()) {
+            d.primary().delayMs = 300;
+            client.send(statement("reserve", 3000, ""));
+            String before = id();
+            client.socket.getOutputStream().write(wire.command("x".repeat(4 << 20), 0));
+            assertEquals(client.answer().value(), "s-a:" + before);
+            assertEquals(client.answer().kind(), "FAILED");
+            assertEquals(client.answer().kind(), "CLOSED");
+            kept(d);
+        }
+    }
+
+    /** Guards against a client's commands being dropped because they are many. */
+    @Test(dataProvider = "wires")
+    public void hundredsOfCommandsAtOnceAreAllAnsweredInTurn(Wire wire) throws Exception {
+        try (Deployment d = new Deployment(wire); Deployment.Client client = d.client()) {
+            int last = Integer.parseInt(id());
+            for (int i = 0; i < 400; i++) {
+                client.send(i % 2 == 0 ? statement("map-view", 10_000, "") : "SELECT " + i);
+            }
+            for (int i = 0; i < 400; i++) {
+                Wire.Answer answer = client.answer();
+                assertTrue(i % 2 == 1 ? answer.kind().equals("FAILED") : answer.value() == null
+                        || answer.value().endsWith(":" + (last + 1 + i / 2)), i + " " + answer);
+            }
+            kept(d);
+        }
+    }
+
+    /** Guards against two attempts in flight under one id, whoever sends it. */
+    @Test(dataProvider = "wires")
+    public void idOfAnOpenRequestServesNobodyElse(Wire wire) throws Exception {
+        try (Deployment d = new Deployment(wire); Deployment.Client client = d.client();
+                Deployment.Client other = d.client()) {
+            d.primary().delayMs = 400;
+            String statement = statement("reserve", 3000, "");
+            client.send(statement);
+            Thread.sleep(100);
+            assertEquals(other.ask(statement).kind(), "FAILED");
+            served(client.answer(), "s-a");
+            assertEquals(d.ledger.seen.size(), 1);
+            kept(d);
+        }
+    }
+
+    private static void readToEnd(Socket socket) throws IOException {
+        try {
+            socket.getInputStream().readAllBytes();
+        } catch (java.net.SocketException e) {
+            // Reset rather than closed: ended all the same.
+            assertTrue(e.getMessage().contains("reset"), e.toString());
+        }
+    }
+
+    @Test(dataProvider = "wires")
+    public void clientThatLeavesTakesNothingWithIt(Wire wire) throws Exception {
+        try (Deployment d = new Deployment(wire); Deployment.Client client = d.client()) {
+            d.databases.forEach(database -> database.delayMs = 400);
+            try (Deployment.Client leaver = d.client()) {
+                leaver.send(statement("reserve", 3000, ""));
+                Thread.sleep(100);
+            }
+            assertEquals(client.ask(statement("reserve", 3000, "")).kind(), "SERVED");
+            kept(d);
+        }
+    }
+
+    /** Guards against a request behind another after SIGTERM that wants more time than is left. */
+    @Test(dataProvider = "wires")
+    public void requestBehindAnotherAfterSigtermIsAnsweredBeforeTheEnd(Wire wire) throws Exception {
+        try (Deployment d = new Deployment(wire); Deployment.Client client = d.client()) {
+            d.databases.forEach(database -> database.word = "SILENT");
+            client.send(statement("reserve", 3000, ""));
+            Thread.sleep(100);
+            d.process.toHandle().destroy();
+            Thread.sleep(1_200);
+            client.send(statement("reserve", 3000, ""));
+            for (int i = 0; i < 2; i++) {
+                Wire.Answer answer = client.answer();
+                assertTrue(answer.kind().matches("FAILED|REFUSED"), i + ": " + answer);
+            }
+            assertTrue(d.process.waitFor(10, TimeUnit.SECONDS));
+            kept(d);
+        }
+    }
+
+    /** Planned restarts must lose nothing: what is out is answered, and only then does the program end. */
+    @Test(dataProvider = "wires")
+    public void sigtermLosesNothingThatWasTaken(Wire wire) throws Exception {
+        try (Deployment d = new Deployment(wire); Deployment.Client idle = d.client();
+                Deployment.Client late = d.client()) {
+            d.primary().delayMs = 1_200;
+            List<Deployment.Client> clients = new ArrayList<>();
+            for (int i = 0; i < 3; i++) {
+                clients.add(d.client());
+                clients.get(i).send(statement("reserve", 3000, ""));
+            }
+            Thread.sleep(200);
+            d.process.toHandle().destroy();
+            Thread.sleep(100);
+            late.send(statement("map-view", 1000, ""));
+            assertEquals(late.answer().kind(), "SERVED");
+            for (Deployment.Client client : clients) {
+                assertEquals(client.answer().kind(), "SERVED");
+                client.close();
+            }
+            assertEquals(idle.answer().kind(), "CLOSED");
+            String counters = d.end();
+            assertTrue(counters.contains("taken=4 sent=4")
+                    && counters.contains("served=4 refused={} failed={}"), counters);
+            kept(d);
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/crankwick/app/OnBothWires.java
@@ -0,0 +1,37 @@
+package crankwick.app;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.util.List;
+import org.testng.annotations.DataProvider;
+
+/** What the checks on sockets share: both wires, and requests whose numbers tell whose answer it is. */
+abstract class OnBothWires {
+    private int ids;
+
+    /** Both wires. */
+    @DataProvider
+    public Object[][] wires() {
+        return new Object[][] {{new PgWire()}, {new TdsWire()}};
+    }
+
+    final String statement(String cls, int wait, String more) {
+        String key = cls.equals("reserve") ? ",k=5c0f6e1a2b3d" + (ids + 1) : "";
+        return "/* id=" + ++ids + ",c=" + cls + ",d=" + wait + key + ",cluster=0" + more
+                + " */ SELECT val FROM state WHERE uid = '7f3a9c21e0b4d655'";
+    }
+
+    final String id() {
+        return Integer.toString(ids);
+    }
+
+    final void served(Wire.Answer answer, String server) {
+        assertEquals(answer.value(), server + ":" + id(), answer.toString());
+    }
+
+    static void kept(Deployment d) {
+        assertEquals(d.ledger.broken, List.of());
+        assertTrue(d.log.stream().noneMatch(line -> line.contains("ERROR")), d.log.toString());
+    }
+}
