Keep each database as last read, so that a drain counts though its entry can't be read whole

Found by reading: an entry of which any field could not be read was left out whole (ListCodec.parse, DnsSdFile.parse), and with it a drain that it announced; a whole list with such an entry removed nobody, for as long as it stayed so. Change: Listing, one mechanism for both fronts, keeps each database as last read. An entry whose name can be read stands for the database as it was and leads only towards caution (draining, removed); the list stays whole unless a name can't be read; of a database named twice the drain counts. Ruled out: guessing the missing fields, since a wrong address or group would be routed to.

--- a/src/main/java/crankwick/app/Main.java
+++ b/src/main/java/crankwick/app/Main.java
@@ -1,11 +1,11 @@
 package crankwick.app;
 
-import crankwick.RouterApi.ListKind;
 import crankwick.broker.Contract;
 import crankwick.discovery.Discovery;
 import crankwick.discovery.DnsSdFile;
 import crankwick.discovery.HttpWatch;
 import crankwick.discovery.ListCodec;
+import crankwick.discovery.Listing;
 import crankwick.handover.HandoverSettings;
 import crankwick.net.Transport;
 import crankwick.pg.PgDatabaseCodec;
@@ -15,7 +15,6 @@
 import crankwick.tds.TdsFrontCodec;
 import java.io.IOException;
 import java.nio.file.Path;
-import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CopyOnWriteArrayList;
@@ -82,7 +81,7 @@
         ListCodec lists = new ListCodec(config.settings().zoneNames());
         service.start(config.listen(), config.sockets(), config.known(), (loop, clock) -> new HttpWatch(
                 transport, loop, clock, config.discovery(), () -> PlatformConfig.read(file).discovery(),
-                lists, config.version(), config.seed(), service::onListed));
+                lists, config.known(), config.version(), config.seed(), service::onListed));
         return service;
     }
 
@@ -91,10 +90,10 @@
         List<String> zones = file.settings().zoneNames();
         Service service = new Service(wire, file.settings(), System.nanoTime(), file.contracts(),
                 file.sockets(), transport, file.changes());
-        var known = new Discovery.News(ListKind.RESTORED,
-                DnsSdFile.parse(file.zone(), zones, new ArrayList<>()));
+        Discovery.News known = Listing.known(DnsSdFile.parse(file.zone(), zones));
         service.start(file.listen(), file.sockets(), known, (loop, clock) -> new DnsSdFile(file.zone(),
-                () -> OperatorFile.read(path).zone(), zones, file.rereadEvery(), loop, service::onListed));
+                () -> OperatorFile.read(path).zone(), zones, known, file.rereadEvery(), loop,
+                service::onListed));
         return service;
     }
 
--- a/src/main/java/crankwick/app/OperatorFile.java
+++ b/src/main/java/crankwick/app/OperatorFile.java
@@ -1,8 +1,10 @@
 package crankwick.app;
 
 import crankwick.broker.Contract;
+import crankwick.discovery.Discovery;
 import crankwick.discovery.DnsSdFile;
 import crankwick.discovery.ListCodec;
+import crankwick.discovery.Listing;
 import crankwick.handover.HandoverSettings;
 import crankwick.simhost.SettingsCodec;
 import java.io.IOException;
@@ -10,7 +12,6 @@
 import java.nio.file.Path;
 import java.util.HashMap;
 import java.util.HashSet;
-import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -140,14 +141,9 @@
                 number(team, "deadline_cap_ms", at + "deadline_cap_ms", 0) * 1_000);
     }
 
-    private static List<?> databases(DnsSdFile.Zone zone, List<String> zones) {
+    private static Discovery.News databases(DnsSdFile.Zone zone, List<String> zones) {
         try {
-            List<String> faults = new ArrayList<>();
-            List<?> hosts = DnsSdFile.parse(zone, zones, faults);
-            if (!faults.isEmpty()) {
-                throw new IllegalArgumentException(faults.get(0));
-            }
-            return hosts;
+            return Listing.known(DnsSdFile.parse(zone, zones));
         } catch (IOException e) {
             throw new IllegalArgumentException(e.getMessage(), e);
         }
--- a/src/main/java/crankwick/app/PlatformConfig.java
+++ b/src/main/java/crankwick/app/PlatformConfig.java
@@ -2,9 +2,9 @@
 
 import com.google.gson.JsonObject;
 import com.google.gson.JsonParser;
-import crankwick.RouterApi.ListKind;
 import crankwick.discovery.Discovery;
 import crankwick.discovery.ListCodec;
+import crankwick.discovery.Listing;
 import crankwick.simhost.SettingsCodec;
 import java.io.IOException;
 import java.net.InetSocketAddress;
@@ -28,10 +28,8 @@
             key = "settings";
             SettingsCodec settings = new SettingsCodec(root.getAsJsonObject(key).toString());
             key = "known";
-            ListCodec.Versioned known = new ListCodec(settings.zoneNames()).parse(root.getAsJsonObject(key));
-            if (known.fault() != null) {
-                throw new IllegalArgumentException(known.fault());
-            }
+            ListCodec.Versioned list = new ListCodec(settings.zoneNames()).parse(root.getAsJsonObject(key));
+            Discovery.News known = Listing.known(list.entries());
             key = "listen";
             InetSocketAddress listen = ListCodec.address(root.get(key).getAsString());
             key = "discovery";
@@ -41,7 +39,7 @@
             key = "limits.sockets";
             int sockets = root.getAsJsonObject("limits").get("sockets").getAsInt();
             return new PlatformConfig(root.get("name").getAsString(), listen, discovery, seed, sockets,
-                    settings, known.version(), new Discovery.News(ListKind.RESTORED, known.news().hosts()));
+                    settings, list.version(), known);
         } catch (IllegalArgumentException e) {
             throw new IllegalArgumentException(file.getFileName() + ": " + key + ": " + e.getMessage(), e);
         } catch (RuntimeException e) {
--- a/src/main/java/crankwick/discovery/DnsSdFile.java
+++ b/src/main/java/crankwick/discovery/DnsSdFile.java
@@ -1,8 +1,8 @@
 package crankwick.discovery;
 
-import crankwick.RouterApi.ListKind;
 import crankwick.RouterApi.Member;
 import crankwick.RouterApi.Role;
+import crankwick.RouterApi.Standing;
 import crankwick.net.EventLoop;
 import java.io.IOException;
 import java.net.InetAddress;
@@ -42,14 +42,18 @@
     private final long rereadEvery;
     private final EventLoop loop;
     private final Consumer<News> listener;
+    private final Listing listing;
     private Zone zone;
     private String last = "";
     /** What was wrong when it was last looked at: a line is worth it once. */
     private String fault = "";
     private boolean watching;
 
-    /** {@code zones} names them in the settings' order; the file is looked at every so many microseconds. */
-    public DnsSdFile(Zone zone, Callable<Zone> configured, List<String> zones, long rereadEvery,
+    /**
+     * Goes on from {@code known}; {@code zones} names them in the settings' order. The file is looked at
+     * every so many microseconds.
+     */
+    public DnsSdFile(Zone zone, Callable<Zone> configured, List<String> zones, News known, long rereadEvery,
             EventLoop loop, Consumer<News> listener) {
         this.zone = zone;
         this.configured = configured;
@@ -57,6 +61,7 @@
         this.rereadEvery = rereadEvery;
         this.loop = loop;
         this.listener = listener;
+        listing = new Listing(known.hosts());
     }
 
     @Override
@@ -94,12 +99,12 @@
         try {
             String text = Files.readString(zone.file());
             if (!text.equals(last)) {
-                List<String> faults = new ArrayList<>();
-                List<Host> hosts = parse(zone, zones, faults);
-                if (!faults.isEmpty()) {
-                    LOG.warn("{} can't be read in part: {}", zone.file().getFileName(), faults.get(0));
+                List<Listing.Entry> entries = parse(zone, zones);
+                String unread = Listing.fault(entries);
+                if (unread != null) {
+                    LOG.warn("{} can't be read in part: {}", zone.file().getFileName(), unread);
                 }
-                listener.accept(new News(faults.isEmpty() ? ListKind.FULL : ListKind.CHANGES, hosts));
+                listener.accept(listing.take(true, entries));
                 last = text;
                 fault = "";
             }
@@ -111,11 +116,8 @@
         }
     }
 
-    /**
-     * The databases that a zone's file names; throws where it is no such file. What can't be read of one is
-     * added to {@code faults}, and the database left out.
-     */
-    public static List<Host> parse(Zone zone, List<String> zones, List<String> faults) throws IOException {
+    /** The databases that a zone's file names, as far as they can be read; throws where it is none. */
+    public static List<Listing.Entry> parse(Zone zone, List<String> zones) throws IOException {
         List<Name> instances = new ArrayList<>();
         Map<Name, SRVRecord> places = new HashMap<>();
         Map<Name, TXTRecord> texts = new HashMap<>();
@@ -133,25 +135,39 @@
                 }
             }
         }
-        List<Host> hosts = new ArrayList<>();
+        List<Listing.Entry> entries = new ArrayList<>();
         for (Name instance : instances) {
             SRVRecord place = places.get(instance);
-            InetAddress address = place == null ? null : addresses.get(place.getTarget());
-            if (address == null || !texts.containsKey(instance)) {
-                faults.add(instance + " lacks its SRV, A or TXT");
-                continue;
-            }
-            try {
-                hosts.add(new Host(member(instance, texts.get(instance), zones),
-                        new InetSocketAddress(address, place.getPort())));
-            } catch (IllegalArgumentException e) {
-                faults.add(instance + ": " + e.getMessage());
+            entries.add(entry(instance, place, place == null ? null : addresses.get(place.getTarget()),
+                    texts.get(instance), zones));
+        }
+        return entries;
+    }
+
+    private static Listing.Entry entry(Name instance, SRVRecord place, InetAddress address, TXTRecord txt,
+            List<String> zones) {
+        String server = instance.getLabelString(0);
+        Standing standing = null;
+        try {
+            Map<String, String> facts = facts(txt);
+            standing = ListCodec.standing(facts.getOrDefault("state", "up"));
+            Role role = "read-write".equals(facts.get("mode")) ? Role.PRIMARY : Role.UNKNOWN;
+            if (address == null) {
+                throw new IllegalArgumentException("lacks its SRV or A");
             }
+            Member member = new Member(server, zones.indexOf(facts.getOrDefault("zone", "")),
+                    Long.parseLong(facts.getOrDefault("cell", "")), role, standing,
+                    Long.parseLong(facts.getOrDefault("started_ms", "0")) * 1_000);
+            return Listing.Entry.of(new Host(member, new InetSocketAddress(address, place.getPort())));
+        } catch (IllegalArgumentException e) {
+            return new Listing.Entry(server, standing, null, instance + ": " + e.getMessage());
         }
-        return hosts;
     }
 
-    private static Member member(Name instance, TXTRecord txt, List<String> zones) {
+    private static Map<String, String> facts(TXTRecord txt) {
+        if (txt == null) {
+            throw new IllegalArgumentException("lacks its TXT");
+        }
         Map<String, String> facts = new HashMap<>();
         for (String text : txt.getStrings()) {
             int equals = text.indexOf('=');
@@ -159,10 +175,6 @@
                 facts.put(text.substring(0, equals), text.substring(equals + 1));
             }
         }
-        Role role = "read-write".equals(facts.get("mode")) ? Role.PRIMARY : Role.UNKNOWN;
-        return new Member(instance.getLabelString(0), zones.indexOf(facts.getOrDefault("zone", "")),
-                Long.parseLong(facts.getOrDefault("cell", "")), role,
-                ListCodec.standing(facts.getOrDefault("state", "up")),
-                Long.parseLong(facts.getOrDefault("started_ms", "0")) * 1_000);
+        return facts;
     }
 }
--- a/src/main/java/crankwick/discovery/HttpWatch.java
+++ b/src/main/java/crankwick/discovery/HttpWatch.java
@@ -36,6 +36,7 @@
     private final Clock clock;
     private final Callable<InetSocketAddress> configured;
     private final ListCodec codec;
+    private final Listing listing;
     private final Consumer<News> listener;
     private final WatchKeeper keeper;
     private InetSocketAddress address;
@@ -45,9 +46,9 @@
     private boolean troubled;
     private String fault;
 
-    /** {@code version} is that of the list last had; {@code configured} reads the configured address. */
+    /** Goes on from {@code known}, of that version; {@code configured} reads the configured address. */
     public HttpWatch(Transport transport, EventLoop loop, Clock clock, InetSocketAddress address,
-            Callable<InetSocketAddress> configured, ListCodec codec, long version, long seed,
+            Callable<InetSocketAddress> configured, ListCodec codec, News known, long version, long seed,
             Consumer<News> listener) {
         this.transport = transport;
         this.loop = loop;
@@ -55,6 +56,7 @@
         this.address = address;
         this.configured = configured;
         this.codec = codec;
+        listing = new Listing(known.hosts());
         this.listener = listener;
         keeper = new WatchKeeper(version, seed, this);
     }
@@ -132,12 +134,13 @@
             keeper.failed(answered.call, clock.now());
             return;
         }
-        if (list.fault() != null) {
-            LOG.warn("discovery's answer can't be read in part: {}", list.fault());
+        String unread = Listing.fault(list.entries());
+        if (unread != null) {
+            LOG.warn("discovery's answer can't be read in part: {}", unread);
             fault = "unreadable in part";
         }
-        if (keeper.answered(answered.call, list.version(), list.fault() == null, clock.now())) {
-            listener.accept(list.news());
+        if (keeper.answered(answered.call, list.version(), unread == null, clock.now())) {
+            listener.accept(listing.take(list.full(), list.entries()));
         } else {
             LOG.warn("discovery's answer is older than the list had: {}", list.version());
             fault = "older than before";
--- a/src/main/java/crankwick/discovery/ListCodec.java
+++ b/src/main/java/crankwick/discovery/ListCodec.java
@@ -3,7 +3,6 @@
 import com.google.gson.JsonElement;
 import com.google.gson.JsonObject;
 import com.google.gson.JsonParser;
-import crankwick.RouterApi.ListKind;
 import crankwick.RouterApi.Member;
 import crankwick.RouterApi.Role;
 import crankwick.RouterApi.Standing;
@@ -20,11 +19,8 @@
         this.zones = zones;
     }
 
-    /**
-     * A list and its version. {@code fault} names what is wrong with the first entry that can't be read, or
-     * is null; such entries are left out, and a whole list is then no more than changes: none has left it.
-     */
-    public record Versioned(long version, Discovery.News news, String fault) {
+    /** A list's version, whether it claims to be whole, and its entries as far as they can be read. */
+    public record Versioned(long version, boolean full, List<Listing.Entry> entries) {
     }
 
     /** Reads a list; throws IllegalArgumentException or another RuntimeException on what is none. */
@@ -34,28 +30,32 @@
 
     /** Reads a list that is part of a larger document. */
     public Versioned parse(JsonObject root) {
-        List<Discovery.Host> hosts = new ArrayList<>();
-        String fault = null;
-        int place = 0;
+        List<Listing.Entry> entries = new ArrayList<>();
         for (JsonElement e : root.getAsJsonArray("servers")) {
-            try {
-                hosts.add(host(e.getAsJsonObject()));
-            } catch (RuntimeException unreadable) {
-                fault = fault == null ? "servers[" + place + "]: " + unreadable.getMessage() : fault;
-            }
-            place++;
+            entries.add(entry(e, entries.size()));
         }
-        boolean whole = root.get("full").getAsBoolean() && fault == null;
-        return new Versioned(root.get("version").getAsLong(),
-                new Discovery.News(whole ? ListKind.FULL : ListKind.CHANGES, hosts), fault);
+        return new Versioned(root.get("version").getAsLong(), root.get("full").getAsBoolean(), entries);
     }
 
-    private Discovery.Host host(JsonObject o) {
-        Standing standing = standing(o.get("state").getAsString());
+    private Listing.Entry entry(JsonElement e, int place) {
+        String server = null;
+        Standing standing = null;
+        try {
+            JsonObject o = e.getAsJsonObject();
+            server = o.get("id").getAsString();
+            standing = standing(o.get("state").getAsString());
+            return Listing.Entry.of(host(o, server, standing));
+        } catch (RuntimeException unreadable) {
+            return new Listing.Entry(server, standing, null,
+                    "servers[" + place + "]: " + unreadable.getMessage());
+        }
+    }
+
+    private Discovery.Host host(JsonObject o, String server, Standing standing) {
         Role role = o.has("mode") && o.get("mode").getAsString().equals("read-write") ? Role.PRIMARY
                 : Role.UNKNOWN;
         long started = o.has("started_ms") ? (long) (o.get("started_ms").getAsDouble() * 1_000) : 0;
-        Member member = new Member(o.get("id").getAsString(), zones.indexOf(o.get("zone").getAsString()),
+        Member member = new Member(server, zones.indexOf(o.get("zone").getAsString()),
                 o.get("cell").getAsLong(), role, standing, started);
         return new Discovery.Host(member, address(o.get("addr").getAsString()));
     }
--- a/src/test/java/crankwick/app/Deployment.java
+++ b/src/test/java/crankwick/app/Deployment.java
@@ -79,7 +79,7 @@
     private int calls;
     /** Databases of other groups that the list names besides. */
     volatile int others;
-    /** An entry that can't be read stands before the rest. */
+    /** An entry that can't be read stands before the rest, and where those that drain are can't be read. */
     volatile boolean spoilt;
     /** How long a call waits its turn; until when the last one is held. */
     private int turnMs;
@@ -243,7 +243,8 @@
         }
         for (StandIn d : databases) {
             entries.add((spoilt && d.name.equals("s-a") ? "{\"id\":\"s-x\",\"state\":\"odd\"}," : "")
-                    + "{\"id\":\"" + d.name + "\",\"addr\":\"127.0.0.1:" + d.listener.getLocalPort()
+                    + "{\"id\":\"" + d.name + "\",\"addr\":\"127.0.0.1"
+                    + (isUnreadable(d) ? "" : ":" + d.listener.getLocalPort())
                     + "\",\"zone\":\"ulemiste\",\"cell\":0,\"state\":\"" + states.get(d.name)
                     + "\",\"mode\":\"" + d.mode + "\",\"started_ms\":0}");
         }
@@ -251,15 +252,20 @@
                 + String.join(",", entries) + "]}";
     }
 
+    private boolean isUnreadable(StandIn d) {
+        return spoilt && states.get(d.name).equals("draining");
+    }
+
     private void writeZone() throws IOException {
         StringBuilder zone = new StringBuilder("$TTL 5\ndb.stations.example. IN A 127.0.0.1\n");
         for (StandIn d : databases) {
             zone.append(spoilt ? "@ IN PTR nowhere._tds._tcp.stations.example.\n" : "")
-                    .append("@ IN PTR ").append(d.name).append("._tds._tcp.stations.example.\n")
-                    .append(d.name)
-                    .append(" IN SRV 0 0 ").append(d.listener.getLocalPort())
-                    .append(" db.stations.example.\n").append(d.name)
-                    .append(" IN TXT zone=ulemiste cell=0 mode=").append(d.mode)
+                    .append("@ IN PTR ").append(d.name).append("._tds._tcp.stations.example.\n");
+            if (!isUnreadable(d)) {
+                zone.append(d.name).append(" IN SRV 0 0 ").append(d.listener.getLocalPort())
+                        .append(" db.stations.example.\n");
+            }
+            zone.append(d.name).append(" IN TXT zone=ulemiste cell=0 mode=").append(d.mode)
                     .append(" state=").append(states.get(d.name)).append('\n');
         }
         Path whole = Files.writeString(folder.resolve("new.zone"), zone);
--- a/src/test/java/crankwick/app/DrainsIT.java
+++ b/src/test/java/crankwick/app/DrainsIT.java
@@ -26,7 +26,7 @@
         }
     }
 
-    /** Lists are pushed, says the file, and one entry can't be read: no drain is missed for either. */
+    /** Lists are pushed, says the file, and entries can't be read in part: no drain is missed for either. */
     @Test(dataProvider = "wires")
     public void drainsOfPushedAndOfPartlySpoiltListsAreHeard(Wire wire) throws Exception {
         try (Deployment d = new Deployment(wire, "\"ask\"", "\"push\"");
