Read lists that end with their connection, and what the old place wrote before SIGHUP

An answer without a length was never read: Grizzly hands its parts over as not the last, and HttpWatch's Receiver.handleClose took the close for a failure. WatchKeeper.moved ended the open call before the new place had answered: an answer on its way then was told and not read. Now it counts until the new place answers (HttpWatch.leave), unless it is older than the list had. Ruled out: chunks, one byte at a time, cut, endless, empty, unreadable and refused answers were read or asked for again as before. The stand-in for discovery writes its answers itself now, so that it can write any form.

--- a/src/main/java/crankwick/discovery/HttpWatch.java
+++ b/src/main/java/crankwick/discovery/HttpWatch.java
@@ -3,7 +3,7 @@
 import crankwick.net.Clock;
 import crankwick.net.EventLoop;
 import crankwick.net.Transport;
-import java.io.IOException;
+import java.io.ByteArrayOutputStream;
 import java.net.InetSocketAddress;
 import java.net.SocketAddress;
 import java.nio.charset.StandardCharsets;
@@ -41,6 +41,8 @@
     private final WatchKeeper keeper;
     private InetSocketAddress address;
     private Exchange exchange;
+    /** The call that was open where discovery was before; until the new place answers, or null. */
+    private Exchange left;
     private EventLoop.Timer timer;
     private boolean closed;
     private boolean troubled;
@@ -89,6 +91,7 @@
     @Override
     public void close() {
         closed = true;
+        endLeft();
         keeper.end();
         arm();
     }
@@ -105,6 +108,23 @@
         exchange.end();
     }
 
+    @Override
+    public void leave(long call) {
+        endLeft();
+        if (exchange.connection == null) {
+            exchange.end();
+        } else {
+            left = exchange;
+        }
+    }
+
+    private void endLeft() {
+        if (left != null) {
+            left.end();
+            left = null;
+        }
+    }
+
     /** Sets the timer to when the keeper wants to be called next; says when trouble begins and ends. */
     private void arm() {
         if (timer != null) {
@@ -134,12 +154,20 @@
             keeper.failed(answered.call, clock.now());
             return;
         }
+        if (answered == left) {
+            left = null;
+            if (list.version() >= keeper.version()) {
+                listener.accept(listing.take(false, list.entries()));
+            }
+            return;
+        }
         String unread = Listing.fault(list.entries());
         if (unread != null) {
             LOG.warn("discovery's answer can't be read in part: {}", unread);
             fault = "unreadable in part";
         }
         if (keeper.answered(answered.call, list.version(), unread == null, clock.now())) {
+            endLeft();
             listener.accept(listing.take(list.full(), list.entries()));
         } else {
             LOG.warn("discovery's answer is older than the list had: {}", list.version());
@@ -194,7 +222,9 @@
         }
 
         private void fail(String why) {
-            if (!over) {
+            if (this == left) {
+                endLeft();
+            } else if (!over) {
                 end();
                 fault = why;
                 keeper.failed(call, clock.now());
@@ -219,34 +249,53 @@
             }
         }
 
+        /**
+         * Puts the answer together. One without a length ends with its connection, however that ends: half a
+         * list can't be read.
+         */
         private final class Receiver extends BaseFilter {
+            private final ByteArrayOutputStream body = new ByteArrayOutputStream();
+            private int status;
+            private boolean toTheClose;
+
             @Override
-            public NextAction handleRead(FilterChainContext context) throws IOException {
+            public NextAction handleRead(FilterChainContext context) {
                 HttpContent content = context.getMessage();
-                if (content.getContent().remaining() > MAX_BODY) {
+                HttpResponsePacket head = (HttpResponsePacket) content.getHttpHeader();
+                status = head.getStatus();
+                toTheClose = !head.isChunked() && head.getContentLength() < 0;
+                byte[] part = new byte[content.getContent().remaining()];
+                content.getContent().get(part);
+                body.writeBytes(part);
+                if (body.size() > MAX_BODY) {
                     loop.execute(() -> fail("an answer of over " + MAX_BODY + " bytes"));
-                    return context.getStopAction();
+                } else if (content.isLast()) {
+                    end();
                 }
-                if (!content.isLast()) {
-                    return context.getStopAction(content);
-                }
-                int status = ((HttpResponsePacket) content.getHttpHeader()).getStatus();
-                String body = content.getContent().toStringContent(StandardCharsets.UTF_8);
-                loop.execute(() -> {
-                    if (status == 200) {
-                        answered(body);
-                    } else {
-                        fail("status " + status);
-                    }
-                });
                 return context.getStopAction();
             }
 
             @Override
             public NextAction handleClose(FilterChainContext context) {
-                loop.execute(() -> fail("the connection ended"));
+                if (toTheClose) {
+                    end();
+                } else {
+                    loop.execute(() -> fail("the connection ended"));
+                }
                 return context.getStopAction();
             }
+
+            private void end() {
+                int told = status;
+                String text = body.toString(StandardCharsets.UTF_8);
+                loop.execute(() -> {
+                    if (told == 200) {
+                        answered(text);
+                    } else {
+                        fail("status " + told);
+                    }
+                });
+            }
         }
     }
 }
--- a/src/main/java/crankwick/discovery/WatchKeeper.java
+++ b/src/main/java/crankwick/discovery/WatchKeeper.java
@@ -54,6 +54,9 @@
 
         /** Ends a call; nothing that it still brings counts. */
         void end(long call);
+
+        /** Leaves a call to where discovery was: what it brings counts until the next one is answered. */
+        void leave(long call);
     }
 
     private final SplittableRandom random;
@@ -94,6 +97,11 @@
         return dueAt;
     }
 
+    /** The version of the list had. */
+    public long version() {
+        return version;
+    }
+
     /** Since when discovery has not answered as it should, or a time in the far future. */
     public long troubleSince() {
         return troubleSince;
@@ -166,9 +174,14 @@
         }
     }
 
-    /** Discovery is at another place from now on: what the list lacks is asked there, at once and whole. */
+    /**
+     * Discovery is at another place from now on: what the list lacks is asked there, at once and whole. What
+     * the old place has written by now is told, though it may not have arrived.
+     */
     public void moved(long now) {
-        end();
+        if (open != 0) {
+            calls.leave(open);
+        }
         whole = true;
         failures = 0;
         overdue = 0;
--- a/src/main/java/crankwick/lab/DrainLab.java
+++ b/src/main/java/crankwick/lab/DrainLab.java
@@ -215,5 +215,10 @@
             waits = false;
             silent = false;
         }
+
+        @Override
+        public void leave(long ended) {
+            end(ended);
+        }
     }
 }
--- a/src/test/java/crankwick/app/Deployment.java
+++ b/src/test/java/crankwick/app/Deployment.java
@@ -1,12 +1,9 @@
 package crankwick.app;
 
-import com.sun.net.httpserver.HttpExchange;
-import com.sun.net.httpserver.HttpServer;
 import java.io.BufferedReader;
 import java.io.DataInputStream;
 import java.io.IOException;
 import java.io.InputStreamReader;
-import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
@@ -17,7 +14,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CopyOnWriteArrayList;
-import java.util.concurrent.Executors;
 import java.util.concurrent.TimeUnit;
 import org.tomlj.Toml;
 
@@ -69,7 +65,7 @@
     private Thread reader;
     private final Path folder = Files.createTempDirectory("crankwick");
     private final Map<String, String> states = new LinkedHashMap<>();
-    private HttpServer discovery;
+    ScriptedDiscovery discovery;
     private final Path config = folder.resolve("config");
     private String zoneFile = "stations.zone";
     private final int port;
@@ -98,7 +94,7 @@
             databases.add(new StandIn(name, name.equals("s-a") ? "read-write" : "read-only", wire, ledger));
             states.put(name, "up");
         }
-        discovery = startDiscovery();
+        discovery = new ScriptedDiscovery(this::list);
         writeZone();
         boolean pg = wire instanceof PgWire;
         Files.writeString(config, pg ? platformConfig() : operatorFile());
@@ -107,14 +103,6 @@
         client().close();
     }
 
-    private HttpServer startDiscovery() throws IOException {
-        HttpServer server = HttpServer.create(new InetSocketAddress("127.0.0.1", 0), 0);
-        server.setExecutor(Executors.newCachedThreadPool());
-        server.createContext("/discovery/hosts", this::list);
-        server.start();
-        return server;
-    }
-
     /** Replaces the configuration by another text and sends SIGHUP. */
     void reload(String text) throws IOException, InterruptedException {
         Files.writeString(config, text);
@@ -122,14 +110,18 @@
         Thread.sleep(500);
     }
 
-    /** Discovery is at another place from now on, as the new configuration says. */
-    void moveDiscovery() throws IOException, InterruptedException {
-        HttpServer old = discovery;
-        discovery = startDiscovery();
-        old.stop(0);
+    /** Discovery is at another place from now on, as the new configuration says; the old one. */
+    ScriptedDiscovery moveDiscovery() throws IOException, InterruptedException {
+        return moveDiscovery(this::list);
+    }
+
+    ScriptedDiscovery moveDiscovery(ScriptedDiscovery.Lists lists) throws IOException, InterruptedException {
+        ScriptedDiscovery old = discovery;
+        discovery = new ScriptedDiscovery(lists);
         zoneFile = "moved.zone";
         writeZone();
         reload(wire instanceof PgWire ? platformConfig() : operatorFile());
+        return old;
     }
 
     /** Starts the built program; either configuration may be null. */
@@ -179,7 +171,7 @@
     private String platformConfig() throws IOException {
         String settings = Toml.parse(operatorFile()).getTable("settings").toJson();
         return "{\"name\":\"n0\",\"listen\":\"127.0.0.1:0\",\"discovery\":\"127.0.0.1:"
-                + discovery.getAddress().getPort() + "\",\"seed\":\"8c1f30d27a5be964\","
+                + discovery.port() + "\",\"seed\":\"8c1f30d27a5be964\","
                 + "\"limits\":{\"sockets\":512},\"known\":" + json(0) + ",\"settings\":" + settings + "}";
     }
 
@@ -188,11 +180,9 @@
                 .replace("stations.zone", zoneFile).replace(part, instead);
     }
 
-    private void list(HttpExchange exchange) throws IOException {
-        String query = exchange.getRequestURI().getQuery();
+    private String list(String query) throws InterruptedException {
         int from = query == null ? 0 : Integer.parseInt(query.replaceAll("from=(\\d+).*", "$1"));
         int hold = query == null ? 0 : Integer.parseInt(query.replaceAll(".*hold_ms=(\\d+).*", "$1"));
-        byte[] body;
         synchronized (states) {
             int call = calls++;
             long until = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(turnMs + hold);
@@ -201,20 +191,13 @@
             while (from >= version && System.nanoTime() < until || call < silentBefore) {
                 pause(50);
             }
-            body = json(from).getBytes(StandardCharsets.UTF_8);
+            return json(from);
         }
-        exchange.sendResponseHeaders(200, body.length);
-        exchange.getResponseBody().write(body);
-        exchange.close();
     }
 
-    private void pause(long millis) {
-        try {
-            if (millis > 0) {
-                states.wait(millis);
-            }
-        } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
+    private void pause(long millis) throws InterruptedException {
+        if (millis > 0) {
+            states.wait(millis);
         }
     }
 
@@ -222,7 +205,7 @@
      * The open watch falls silent, and another then waits its turn for so long. Returns when what it misses
      * counts as told, by {@link System#nanoTime}: 6 s from now, or 2 s after its hold.
      */
-    long silence(int turn) {
+    long silence(int turn) throws InterruptedException {
         synchronized (states) {
             while (heldUntil < System.nanoTime()) {
                 pause(50);
@@ -275,8 +258,20 @@
 
     /** Changes the list, and gives the program time to hear of it. */
     void list(StandIn database, String state) throws IOException, InterruptedException {
+        list(Map.of(database.name, state));
+    }
+
+    /** Only this database drains; the change is told at once, as above. */
+    void onlyDrains(StandIn database) throws IOException, InterruptedException {
+        Map<String, String> all = new LinkedHashMap<>();
+        databases.forEach(d -> all.put(d.name, d == database ? "draining" : "up"));
+        list(all);
+    }
+
+    /** As above, several at once. */
+    void list(Map<String, String> changed) throws IOException, InterruptedException {
         synchronized (states) {
-            states.put(database.name, state);
+            states.putAll(changed);
             version++;
             states.notifyAll();
         }
@@ -323,7 +318,7 @@
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
-        discovery.stop(0);
+        discovery.close();
         for (StandIn database : databases) {
             database.close();
         }
--- a/src/test/java/crankwick/app/DrainsIT.java
+++ b/src/test/java/crankwick/app/DrainsIT.java
@@ -5,6 +5,7 @@
 
 import java.io.IOException;
 import java.util.List;
+import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import org.testng.annotations.Test;
 
@@ -97,12 +98,12 @@
         try (Deployment d = new Deployment(wire); Deployment.Client client = d.client()) {
             d.reload("{ \"discovery\": ");
             served(client.ask(statement("reserve", 3000, "")), "s-a");
-            d.moveDiscovery();
+            d.moveDiscovery().close();
             d.list(d.replicas().get(0), "draining");
             for (int i = 0; i < 20; i++) {
                 served(client.ask(statement("map-view", 1000, "")), "s-c");
             }
-            d.moveDiscovery();
+            d.moveDiscovery().close();
             d.list(d.replicas().get(0), "up");
             d.list(d.replicas().get(1), "draining");
             served(client.ask(statement("map-view", 1000, "")), "s-b");
@@ -138,4 +139,53 @@
             kept(d);
         }
     }
+
+    /** Discovery moves while its last answer is on its way: it was told, though the new one is silent. */
+    @Test
+    public void answerOnItsWayWhenTheWatchMovesIsHeard() throws Exception {
+        try (Deployment d = new Deployment(new PgWire()); Deployment.Client client = d.client()) {
+            d.discovery.pauseMs = 3_000;
+            d.list(Map.of("s-b", "draining", "s-c", "draining"));
+            ScriptedDiscovery old = d.moveDiscovery(query -> {
+                Thread.sleep(60_000);
+                return "";
+            });
+            Thread.sleep(2_000);
+            for (int i = 0; i < 20; i++) {
+                served(client.ask(statement("map-view", 1000, "")), "s-a");
+            }
+            old.close();
+            kept(d);
+        }
+    }
+
+    /** Answers of all forms are read; what is no list is asked for again, and undoes nothing told. */
+    @Test
+    public void answersOfAllFormsAreReadOrAskedForAgain() throws Exception {
+        try (Deployment d = new Deployment(new PgWire()); Deployment.Client client = d.client()) {
+            StandIn before = d.primary();
+            for (ScriptedDiscovery.Form form : ScriptedDiscovery.Form.values()) {
+                StandIn draining = d.replicas().get(form.ordinal() % 2);
+                d.discovery.form = form;
+                d.onlyDrains(draining);
+                if (!form.isWhole()) {
+                    assertNoneAt(before, d, client, form);
+                    d.discovery.form = ScriptedDiscovery.Form.WITH_LENGTH;
+                    Thread.sleep(1_000);
+                }
+                assertNoneAt(draining, d, client, form);
+                before = draining;
+            }
+            kept(d);
+        }
+    }
+
+    private void assertNoneAt(StandIn draining, Deployment d, Deployment.Client client, Object when)
+            throws IOException {
+        int before = d.ledger.at(draining.name).size();
+        for (int i = 0; i < 20; i++) {
+            assertEquals(client.ask(statement("map-view", 1000, "")).kind(), "SERVED", "" + when);
+        }
+        assertEquals(d.ledger.at(draining.name).size(), before, "" + when);
+    }
 }
--- /dev/null
+++ b/src/test/java/crankwick/app/ScriptedDiscovery.java
@@ -0,0 +1,144 @@
+package crankwick.app;
+
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.InputStreamReader;
+import java.io.OutputStream;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+
+/** Discovery on a port of its own, whose answers take the form that a test wants. */
+final class ScriptedDiscovery implements AutoCloseable {
+    /** How answers are written: some are whole, of the others no list can be read. */
+    enum Form {
+        WITH_LENGTH, IN_CHUNKS, TO_THE_CLOSE, BYTE_BY_BYTE, EMPTY, CUT, CUT_WITHOUT_LENGTH, ENDLESS, NO_LIST,
+        TURNED_AWAY;
+
+        boolean isWhole() {
+            return ordinal() <= BYTE_BY_BYTE.ordinal();
+        }
+    }
+
+    /** What is answered to a call, by its query or null; returns when it is to be answered. */
+    interface Lists {
+        String answer(String query) throws InterruptedException;
+    }
+
+    private static final int ENDLESS_BYTES = 3 << 20;
+
+    volatile Form form = Form.WITH_LENGTH;
+    /** Halves of answers wait for so long between them. */
+    volatile int pauseMs;
+    private final ServerSocket listener = new ServerSocket(0, 100, InetAddress.getByName("127.0.0.1"));
+    private final Lists lists;
+    private final Set<Socket> sockets = ConcurrentHashMap.newKeySet();
+
+    ScriptedDiscovery(Lists lists) throws IOException {
+        this.lists = lists;
+        daemon(() -> {
+            while (true) {
+                Socket socket = listener.accept();
+                sockets.add(socket);
+                daemon(() -> serve(socket));
+            }
+        });
+    }
+
+    private interface Task {
+        void run() throws IOException, InterruptedException;
+    }
+
+    private static void daemon(Task task) {
+        Thread thread = new Thread(() -> {
+            try {
+                task.run();
+            } catch (IOException | InterruptedException e) {
+                // The caller has gone, or the test is over.
+                Thread.currentThread().interrupt();
+            }
+        });
+        thread.setDaemon(true);
+        thread.start();
+    }
+
+    int port() {
+        return listener.getLocalPort();
+    }
+
+    private void serve(Socket socket) throws IOException, InterruptedException {
+        try (socket) {
+            socket.setTcpNoDelay(true);
+            BufferedReader in = new BufferedReader(
+                    new InputStreamReader(socket.getInputStream(), StandardCharsets.US_ASCII));
+            String target = in.readLine().split(" ")[1];
+            while (!in.readLine().isEmpty()) {
+                continue;
+            }
+            int query = target.indexOf('?');
+            String list = lists.answer(query < 0 ? null : target.substring(query + 1));
+            byte[] body = list.getBytes(StandardCharsets.UTF_8);
+            write(socket.getOutputStream(), body, form);
+        } finally {
+            sockets.remove(socket);
+        }
+    }
+
+    private void write(OutputStream out, byte[] body, Form as) throws IOException, InterruptedException {
+        String status = "HTTP/1.1 " + (as == Form.TURNED_AWAY ? "503 Busy" : "200 OK") + "\r\n";
+        String length = "Content-Length: " + body.length + "\r\n\r\n";
+        switch (as) {
+            case IN_CHUNKS -> {
+                out.write((status + "Transfer-Encoding: chunked\r\n\r\n").getBytes());
+                for (int at = 0; at < body.length; at += 100) {
+                    byte[] part = Arrays.copyOfRange(body, at, Math.min(body.length, at + 100));
+                    out.write((Integer.toHexString(part.length) + "\r\n").getBytes());
+                    out.write(part);
+                    out.write("\r\n".getBytes());
+                }
+                out.write("0\r\n\r\n".getBytes());
+            }
+            case TO_THE_CLOSE -> {
+                out.write((status + "Connection: close\r\n\r\n").getBytes());
+                out.write(body);
+            }
+            case BYTE_BY_BYTE -> {
+                for (byte b : (status + length + new String(body, StandardCharsets.UTF_8)).getBytes()) {
+                    out.write(b);
+                    Thread.sleep(0, 200_000);
+                }
+            }
+            case CUT, CUT_WITHOUT_LENGTH -> {
+                out.write((status + (as == Form.CUT ? length : "\r\n")).getBytes());
+                out.write(body, 0, body.length / 2);
+            }
+            case ENDLESS -> {
+                out.write((status + "Connection: close\r\n\r\n").getBytes());
+                for (int written = 0; written < ENDLESS_BYTES; written += body.length) {
+                    out.write(body);
+                }
+            }
+            case NO_LIST -> out.write((status + "Content-Length: 3\r\n\r\n{]\0").getBytes());
+            case EMPTY -> out.write((status + "Content-Length: 0\r\n\r\n").getBytes());
+            case TURNED_AWAY -> out.write((status + "Content-Length: 0\r\n\r\n").getBytes());
+            default -> {
+                out.write((status + length).getBytes());
+                out.write(body, 0, body.length / 2);
+                Thread.sleep(pauseMs);
+                out.write(body, body.length / 2, body.length - body.length / 2);
+            }
+        }
+    }
+
+    @Override
+    public void close() throws IOException {
+        listener.close();
+        for (Socket socket : sockets) {
+            socket.close();
+        }
+    }
+}
--- a/src/test/java/crankwick/discovery/WatchKeeperTest.java
+++ b/src/test/java/crankwick/discovery/WatchKeeperTest.java
@@ -57,6 +57,11 @@
             public void end(long call) {
                 asked.add(-call);
             }
+
+            @Override
+            public void leave(long call) {
+                asked.add(-call);
+            }
         });
     }
 
