Recall what has not begun for a client that has gone, and keep the connection it waited for

Cause: Broker.onLeft told the router, but left an attempt in flight alone, begun or not. One that waited for its connection to come up (DatabasePool.Link with a job, not greeted) was written when it did, up to the connect timeout after the client's close. Change: onLeft recalls what is not written (Effect.Recall, as when a database drains). A recall ends the job alone: its connection goes on coming up, or rests again, where a drain used to end it. Timed-out probes and withdrawn attempts that have not begun do the same. Ruled out: an attempt whose command has begun goes on and ends by itself, as before. Test: ClientsIT.nothingIsBegunForAClientThatHasGone fails on both wires without it.

--- a/src/main/java/crankwick/broker/Broker.java
+++ b/src/main/java/crankwick/broker/Broker.java
@@ -298,6 +298,9 @@
         if (life != null && !life.answered) {
             counters.countLeft();
             settled(life);
+            if (life.inFlight && !life.written) {
+                effects.add(new Effect.Recall(ref));
+            }
             toRouter.add(new RouterApi.Gone(ref));
             forget(life);
         }
--- a/src/main/java/crankwick/net/DatabasePool.java
+++ b/src/main/java/crankwick/net/DatabasePool.java
@@ -287,10 +287,22 @@
             return true;
         }
 
-        void recall() {
-            if (!greeted || started.compareAndSet(false, true)) {
-                discard(Result.NOT_SENT);
+        /**
+         * Ends the job if not a byte of its command has been written, and keeps the connection, which may
+         * still be coming up; false if it has begun.
+         */
+        boolean recall(Result result) {
+            if (greeted && !started.compareAndSet(false, true)) {
+                return false;
             }
+            Job unbegun = job;
+            job = null;
+            unbegun.link = null;
+            if (greeted) {
+                release(this);
+            }
+            unbegun.end(result, null);
+            return true;
         }
 
         /** Ends the connection, and with {@code result} what it still carried. */
@@ -385,11 +397,11 @@
         }
     }
 
-    /** Ends an attempt of which nothing has been written, and the connection that it waits for. */
+    /** Ends an attempt of which nothing has been written; one that has begun goes on. */
     void recall(long ref) {
         Attempt attempt = attempts.get(ref);
         if (attempt != null && attempt.link != null && attempt.link.job == attempt) {
-            attempt.link.recall();
+            attempt.link.recall(Result.NOT_SENT);
         }
     }
 
@@ -444,16 +456,11 @@
         return eldest != null;
     }
 
-    /** Nothing more is wanted of a job: a connection that has its command must end, another may come up. */
+    /** Nothing more is wanted of a job: a connection that has its command must end. */
     private void giveUp(Job job, Result result) {
         Link link = job.link;
-        if (link != null && link.job == job) {
-            if (link.greeted) {
-                link.discard(result);
-            } else {
-                link.job = null;
-                job.end(result, null);
-            }
+        if (link != null && link.job == job && !link.recall(result)) {
+            link.discard(result);
         }
     }
 
--- a/src/test/java/crankwick/app/ClientsIT.java
+++ b/src/test/java/crankwick/app/ClientsIT.java
@@ -153,6 +153,27 @@
         }
     }
 
+    /** Guards against work begun for a client that has gone, on a connection that came up after it had. */
+    @Test(dataProvider = "wires")
+    public void nothingIsBegunForAClientThatHasGone(Wire wire) throws Exception {
+        try (Deployment d = new Deployment(wire, "connect-timeout-ms = 250.0",
+                "connect-timeout-ms = 9000.0")) {
+            d.databases.forEach(database -> database.greetMs = 1_000);
+            for (String cls : List.of("reserve", "map-view")) {
+                try (Deployment.Client leaver = d.client()) {
+                    leaver.send(statement(cls, 3000, ""));
+                    Thread.sleep(300);
+                }
+            }
+            Thread.sleep(1_500);
+            assertEquals(d.ledger.seen, List.of());
+            try (Deployment.Client client = d.client()) {
+                served(client.ask(statement("reserve", 3000, "")), "s-a");
+            }
+            kept(d);
+        }
+    }
+
     /** Guards against a request behind another after SIGTERM that wants more time than is left. */
     @Test(dataProvider = "wires")
     public void requestBehindAnotherAfterSigtermIsAnsweredBeforeTheEnd(Wire wire) throws Exception {
