A command read as its connection ends is answered, and nothing is begun too late

Connections end on the thread that reads now, and only where nothing read is unanswered (ClientSession.closeUnlessBusy). 2. DatabasePool.Link.start wrote a command whose client's close or cancel had been read but was still behind it in the loop's queue. It asks where it writes (Job.mayBegin). 3. The same place wrote a repeat whose connection came up after the key's window, which the Router had only asked about when it decided. Effect.Send carries beginBy. 4. Broker.onDeadline took an attempt as never sent by what the loop had heard; the command might have been written by then, and the client was told "refused". It is recalled, and withdrawn as may-have-run if it began. 5. ClientFront.onQuery counted the client's wait from the loop's time, not from when the command was read: databases were told up to the loop's lateness too much. 6. Reading stopped at 64 unanswered commands, so a close behind them was not seen.

ClientSession and ClientCommand are classes of their own; a connection that goes on sending after SIGTERM is no longer read from when its last answers are due; the process is at its end when the last accepted connection is closed, also one that the loop has not heard of.

--- a/src/main/java/crankwick/broker/Broker.java
+++ b/src/main/java/crankwick/broker/Broker.java
@@ -5,6 +5,7 @@
 import crankwick.RouterApi.Need;
 import crankwick.RouterApi.Repeat;
 import crankwick.RouterApi.Report;
+import crankwick.RouterApi.RequestClass;
 import crankwick.RouterApi.Result;
 import crankwick.RouterApi.Role;
 import crankwick.RouterApi.Settings;
@@ -43,6 +44,10 @@
         boolean written;
         String server;
         long sentAt;
+        /** When the first attempt that may have run was sent, or NONE. */
+        long mayHaveRunSince = RouterApi.NONE;
+        /** Past its deadline, an attempt that was not known to have begun has been recalled. */
+        boolean recalled;
         boolean answered;
         /** Not told to the router yet. */
         boolean held;
@@ -275,6 +280,9 @@
 
     private void end(Life life, BrokerEvent.Ended e) {
         life.inFlight = false;
+        if (life.mayHaveRunSince == RouterApi.NONE && !e.result().provesNotRun()) {
+            life.mayHaveRunSince = life.sentAt;
+        }
         counters.count(e.result());
         Role role = e.role();
         Report report = believed(e.report());
@@ -318,8 +326,15 @@
         boolean safe = settings.classes().get(life.call.cls()).repeat() == Repeat.SAFE;
         if (life.inFlight && life.written && safe && now < life.expires + LINGER) {
             effects.add(new Effect.Arm(life.expires + LINGER - now, new BrokerEvent.DeadlineDue(ref)));
+        } else if (life.inFlight && !life.written && !life.recalled) {
+            // The command may be on its way, which only the pool can tell: what has not begun ends by this as
+            // never sent, and whatever has is withdrawn right after as an attempt that may have run.
+            life.recalled = true;
+            effects.add(new Effect.Recall(ref));
+            effects.add(new Effect.Arm(0, new BrokerEvent.DeadlineDue(ref)));
+            return;
         } else if (life.inFlight) {
-            withdraw(life, life.written ? Result.TIMEOUT : Result.NOT_SENT);
+            withdraw(life, Result.TIMEOUT);
             tellRouter();
         }
         if (!life.answered) {
@@ -339,7 +354,8 @@
 
     private void send(Life life, String server) {
         int attempt = life.attempts++;
-        boolean mayGo = !life.inFlight && !life.answered && now < life.expires
+        long beginBy = beginBy(life);
+        boolean mayGo = !life.inFlight && !life.answered && now < beginBy
                 && attempt < settings.limits().maxAttempts();
         if (!mayGo) {
             counters.count(Result.NOT_SENT);
@@ -363,7 +379,13 @@
         life.server = server;
         life.sentAt = now;
         counters.countSent();
-        effects.add(new Effect.Send(life.call.ref(), attempt, server, life.expires));
+        effects.add(new Effect.Send(life.call.ref(), attempt, server, life.expires, beginBy));
+    }
+
+    private long beginBy(Life life) {
+        RequestClass kind = settings.classes().get(life.call.cls());
+        boolean repeat = kind.repeat() == Repeat.KEYED && life.mayHaveRunSince != RouterApi.NONE;
+        return repeat ? Math.min(life.expires, life.mayHaveRunSince + kind.keyTtl()) : life.expires;
     }
 
     private void answer(Life life, Reply reply) {
--- a/src/main/java/crankwick/broker/Effect.java
+++ b/src/main/java/crankwick/broker/Effect.java
@@ -2,8 +2,12 @@
 
 /** What the broker asks for; effects are carried out in the order given. */
 public sealed interface Effect {
-    /** Send a request to a database; it should wait until {@code expires} at most. */
-    record Send(long ref, int attempt, String server, long expires) implements Effect {
+    /**
+     * Send a request to a database; it should wait until {@code expires} at most. Not a byte may be written
+     * from {@code beginBy} on: the client has given up by then, or the window in which databases discard
+     * repeats of an attempt that may have run is over.
+     */
+    record Send(long ref, int attempt, String server, long expires, long beginBy) implements Effect {
     }
 
     /** Stop waiting for an attempt, so that it can no longer be answered. */
--- a/src/main/java/crankwick/lab/HandoverLab.java
+++ b/src/main/java/crankwick/lab/HandoverLab.java
@@ -355,6 +355,11 @@
                 audit.ended(time.now(), e.ref(), job.written ? Result.CANCELLED : Result.NOT_SENT);
                 time.after(way(), () -> drop(job));
             }
+        } else if (effect instanceof Effect.Recall e) {
+            Job job = attempts.get(e.ref());
+            if (job != null && !job.written) {
+                end(job, Result.NOT_SENT, null);
+            }
         } else if (effect instanceof Effect.Probe e) {
             probe(e.server());
         } else if (effect instanceof Effect.Arm e) {
--- a/src/main/java/crankwick/net/ClientFront.java
+++ b/src/main/java/crankwick/net/ClientFront.java
@@ -9,9 +9,7 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.net.SocketAddress;
-import java.util.ArrayDeque;
 import java.util.ArrayList;
-import java.util.Deque;
 import java.util.HashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -33,14 +31,14 @@
 
 /**
  * A front: owns the client connections of one wire. On each connection the answers keep the order of the
- * commands; a command's place is a {@link Slot}, and what lies ready behind an open slot waits.
+ * commands, each a {@link ClientCommand}; what is ready behind one that is not answered waits.
  *
- * <p>What a client may hold is bounded: reading stops while {@link #MAX_PENDING} commands are not answered,
- * who does not ask, go on or read in time is let go, and at the cap those make room who need it least.
+ * <p>What a client may hold is bounded: reading stops while too much is not answered, who does not ask, go on
+ * or read in time is let go, and at the cap those make room who need it least. A command that has been read
+ * is never closed upon: connections end on the thread that reads from them.
  */
 public final class ClientFront {
     private static final Logger LOG = LoggerFactory.getLogger(ClientFront.class);
-    private static final int MAX_PENDING = 64;
     /** From its coming up, a connection has so long to ask something; a command so long to come in whole. */
     private static final long FIRST_COMMAND = 2_000_000;
     private static final long STALL = 2_000_000;
@@ -55,100 +53,23 @@
     /** Connections over the cap until the loop has let others go; with more, no further one is accepted. */
     private static final int SPARE = 16;
 
-    /** A command's place among the answers; {@code reply} is null until there is one. */
-    private static final class Slot {
-        final long ref;
-        final Statement statement;
-        final Session session;
-        FrontReply reply;
-
-        Slot(Session session, long ref, Statement statement) {
-            this.session = session;
-            this.ref = ref;
-            this.statement = statement;
-        }
-    }
-
-    /** One client connection. */
-    private static final class Session {
-        final Connection<SocketAddress> connection;
-        final Deque<Slot> slots = new ArrayDeque<>();
-        String team;
-        boolean asked;
-        /** No command is taken any more: the connection ends behind the answers that are owed. */
-        boolean ending;
-        long idleSince;
-        /** When a connection that has had its last words is cut; 0 before. */
-        long cutAt;
-        private int pending;
-        private boolean paused;
-        private int unwritten;
-        private long unwrittenSince;
-
-        Session(Connection<SocketAddress> connection) {
-            this.connection = connection;
-        }
-
-        /** Commands have come in: with too many not answered, no more is read. Where it reads. */
-        synchronized void took(int commands) {
-            pending += commands;
-            if (!paused && pending >= MAX_PENDING) {
-                paused = true;
-                Transport.toggle(connection, IOEvent.READ, false);
-            }
-        }
-
-        /** A command's answer is written, or none is owed. */
-        synchronized void settled() {
-            pending--;
-            if (paused && pending <= MAX_PENDING / 2) {
-                paused = false;
-                Transport.toggle(connection, IOEvent.READ, true);
-            }
-        }
-
-        synchronized void writing(long now) {
-            unwrittenSince = unwritten++ == 0 ? now : unwrittenSince;
-        }
-
-        synchronized void written(long now) {
-            unwritten--;
-            unwrittenSince = now;
-        }
-
-        synchronized boolean isUnread(long since) {
-            return unwritten > 0 && unwrittenSince < since;
-        }
-
-        boolean isIdle() {
-            return slots.isEmpty() && cutAt == 0;
-        }
-
-        /** Who is at its end needs its place least, then who has never asked, then the longest idle. */
-        boolean needsLessThan(Session other) {
-            return need() != other.need() ? need() < other.need() : idleSince < other.idleSince;
-        }
-
-        private int need() {
-            return cutAt > 0 ? 0 : asked ? 2 : 1;
-        }
-    }
-
     private final EffectRunner runner;
     private final List<RequestClass> classes;
     private final Map<String, Integer> classNames = new HashMap<>();
     private final Predicate<String> teams;
     private final int maxSessions;
-    private final Attribute<Session> ofConnection = Grizzly.DEFAULT_ATTRIBUTE_BUILDER.createAttribute(
+    private final Attribute<ClientSession> ofConnection = Grizzly.DEFAULT_ATTRIBUTE_BUILDER.createAttribute(
             getClass().getName() + '@' + System.identityHashCode(this));
-    private final Set<Session> sessions = new LinkedHashSet<>();
-    private final Map<Long, Slot> open = new HashMap<>();
+    private final Set<ClientSession> sessions = new LinkedHashSet<>();
+    private final Map<Long, ClientCommand> open = new HashMap<>();
     /** Connections with a descriptor, counted where they come and go; {@link #sessions} follows later. */
     private int held;
     private boolean full;
     private CodecFilter codec;
     private volatile TCPNIOServerConnection listener;
     private long lastRef;
+    /** Sessions that are to be closed unless a command has just been read from them. */
+    private int closeRequests;
     private boolean ready;
     private boolean closing;
     /** By then all has to be answered: a request that still comes in may want more time than is left. */
@@ -177,10 +98,10 @@
     /** From now on the empty query is answered, those that wait first. */
     public void ready() {
         ready = true;
-        for (Session session : List.copyOf(sessions)) {
-            for (Slot slot : session.slots) {
-                if (slot.statement == null && slot.reply == null) {
-                    slot.reply = new FrontReply.Nothing();
+        for (ClientSession session : List.copyOf(sessions)) {
+            for (ClientCommand command : session.commands) {
+                if (command.statement == null && command.reply == null) {
+                    command.reply = new FrontReply.Nothing();
                 }
             }
             flush(session);
@@ -191,87 +112,134 @@
     public void close(long latest) {
         closing = true;
         answerBy = latest;
+        runner.loop().after(Math.max(0, latest - runner.clock().now()), this::stopReading);
         if (listener != null) {
             listener.closeSilently();
         }
-        for (Session session : List.copyOf(sessions)) {
+        for (ClientSession session : List.copyOf(sessions)) {
             flush(session);
         }
     }
 
-    /** True once the last connection has ended. */
-    public boolean isEmpty() {
-        return sessions.isEmpty();
+    /** What clients send on connections that never become idle is left unread: no time is left for it. */
+    private void stopReading() {
+        for (ClientSession session : List.copyOf(sessions)) {
+            session.stopReading();
+            flush(session);
+        }
+    }
+
+    /** True once the last connection has ended, also of those that the loop has not heard of yet. */
+    public synchronized boolean isEmpty() {
+        return held == 0;
+    }
+
+    /** Where it listens; a port that was left open has been chosen by now. */
+    public InetSocketAddress address() {
+        return (InetSocketAddress) listener.getLocalAddress();
     }
 
-    Statement statement(long ref) {
-        return open.get(ref).statement;
+    ClientCommand command(long ref) {
+        return open.get(ref);
     }
 
     void answer(long ref, Reply reply) {
-        Slot slot = open.remove(ref);
-        if (slot != null) {
-            slot.reply = new FrontReply.Final(reply);
-            flush(slot.session);
+        ClientCommand command = open.remove(ref);
+        if (command != null) {
+            command.reply = new FrontReply.Final(reply);
+            flush(command.session);
         }
     }
 
-    private void onAccepted(Session session) {
+    private void onAccepted(ClientSession session) {
         session.idleSince = runner.clock().now();
         sessions.add(session);
-        if (sessions.size() > maxSessions && !makeRoom(session)) {
+        if (isOverCap() && !makeRoom(session)) {
             end(session, new FrontReply.Fatal(FrontReply.Cause.TOO_MANY, "too many connections"));
         }
     }
 
+    private boolean isOverCap() {
+        return sessions.size() - closeRequests > maxSessions;
+    }
+
     /** Lets go who has had its last words, else who has never asked, else who has been idle longest. */
-    private boolean makeRoom(Session newcomer) {
-        Session least = null;
-        for (Session session : sessions) {
-            boolean candidate = session != newcomer && (session.cutAt > 0 || session.isIdle());
+    private boolean makeRoom(ClientSession newcomer) {
+        ClientSession least = null;
+        for (ClientSession session : sessions) {
+            boolean candidate = session != newcomer && !session.closeRequested
+                    && (session.cutAt > 0 || session.isIdle());
             if (candidate && (least == null || session.needsLessThan(least))) {
                 least = session;
             }
         }
-        if (least != null) {
+        if (least == null) {
+            return false;
+        }
+        if (least.cutAt > 0) {
             least.connection.terminateSilently();
             onClosed(least);
+        } else {
+            closeUnlessBusy(least);
         }
-        return least != null;
+        return true;
     }
 
-    private void onMessage(Session session, FrontMessage message) {
+    /** Ends an idle connection, unless a command has just been read from it; then another makes room. */
+    private void closeUnlessBusy(ClientSession session) {
+        if (session.closeRequested) {
+            return;
+        }
+        session.closeRequested = true;
+        closeRequests++;
+        session.closeUnlessBusy(codec, () -> runner.loop().execute(() -> {
+            forgetCloseRequest(session);
+            if (isOverCap()) {
+                makeRoom(session);
+            }
+        }));
+    }
+
+    private void forgetCloseRequest(ClientSession session) {
+        if (session.closeRequested) {
+            session.closeRequested = false;
+            closeRequests--;
+        }
+    }
+
+    private void onMessage(ClientSession session, FrontMessage message, long readAt) {
+        long number = session.nextMessage();
         if (session.ending || !sessions.contains(session)) {
-            session.settled();
+            session.settled(message.bytes());
         } else if (message instanceof FrontMessage.Query m) {
             session.asked = true;
-            onQuery(session, m.text());
+            onQuery(session, m, number, readAt);
         } else if (message instanceof FrontMessage.Empty) {
             session.asked = true;
-            add(session, null, ready ? new FrontReply.Nothing() : null);
+            add(session, message, number, null, ready ? new FrontReply.Nothing() : null);
         } else if (message instanceof FrontMessage.Login m) {
             if (teams.test(m.team())) {
                 session.team = m.team();
-                add(session, null, new FrontReply.Welcome());
+                add(session, message, number, null, new FrontReply.Welcome());
             } else {
                 last(session, FrontReply.Cause.UNKNOWN_TEAM, "unknown team");
             }
         } else if (message instanceof FrontMessage.Attention) {
             abandon(session);
-            add(session, null, new FrontReply.AttentionHeard());
+            add(session, message, number, null, new FrontReply.AttentionHeard());
         } else if (message instanceof FrontMessage.Broken m) {
             LOG.debug("client {}: {}", session.connection.getPeerAddress(), m.fault());
             last(session, FrontReply.Cause.BROKEN, m.fault());
         } else {
             session.ending = true;
-            session.settled();
+            session.settled(message.bytes());
             flush(session);
         }
     }
 
-    private void onQuery(Session session, String text) {
+    private void onQuery(ClientSession session, FrontMessage.Query query, long number, long readAt) {
         try {
-            Statement statement = Statement.parse(text);
+            Statement statement = Statement.parse(query.text());
             Integer cls = classNames.get(statement.cls());
             if (cls == null) {
                 throw new IllegalArgumentException("c names no class");
@@ -279,71 +247,77 @@
             if (classes.get(cls).repeat() == Repeat.KEYED && statement.key() == null) {
                 throw new IllegalArgumentException("k is missing");
             }
-            Slot slot = add(session, statement, null);
-            long wait = Math.min(statement.waitMs() * 1_000,
-                    Math.max(1, answerBy - runner.clock().now()));
+            ClientCommand command = add(session, query, number, statement, null);
+            // The client has been waiting since its command was read; the loop may have been late since.
+            long now = runner.clock().now();
+            long left = Math.min(readAt + statement.waitMs() * 1_000, answerBy) - now;
             long after = statement.after() > 0 ? statement.after() * 1_000 : -1;
-            runner.tell(new BrokerEvent.Taken(new Call(slot.ref, statement.id(), session.team, cls,
-                    statement.cluster(), statement.sessionNumber(), after, wait, statement.key(),
-                    text.length())));
+            runner.tell(new BrokerEvent.Taken(new Call(command.ref, statement.id(), session.team, cls,
+                    statement.cluster(), statement.sessionNumber(), after, Math.max(1, left),
+                    statement.key(), query.bytes())));
         } catch (IllegalArgumentException e) {
-            add(session, null, new FrontReply.Unreadable(e.getMessage()));
+            add(session, query, number, null, new FrontReply.Unreadable(e.getMessage()));
         }
     }
 
-    private Slot add(Session session, Statement statement, FrontReply reply) {
-        Slot slot = new Slot(session, ++lastRef, statement);
-        slot.reply = reply;
-        session.slots.add(slot);
+    private ClientCommand add(ClientSession session, FrontMessage message, long number, Statement statement,
+            FrontReply reply) {
+        ClientCommand command = new ClientCommand(session, ++lastRef, statement, number, message.bytes());
+        command.reply = reply;
+        session.commands.add(command);
         if (statement != null) {
-            open.put(slot.ref, slot);
+            open.put(command.ref, command);
         }
         flush(session);
-        return slot;
+        return command;
     }
 
     /** The last words come in their place: what was taken before is answered first. */
-    private void last(Session session, FrontReply.Cause cause, String fault) {
+    private void last(ClientSession session, FrontReply.Cause cause, String fault) {
         session.ending = true;
-        add(session, null, new FrontReply.Fatal(cause, fault));
+        ClientCommand words = new ClientCommand(session, ++lastRef, null, 0, 0);
+        words.reply = new FrontReply.Fatal(cause, fault);
+        session.commands.add(words);
+        flush(session);
     }
 
     /** The client is owed nothing of what it has asked so far. */
-    private void abandon(Session session) {
-        List<Slot> left = new ArrayList<>(session.slots);
-        session.slots.clear();
-        for (Slot slot : left) {
-            session.settled();
-            if (open.remove(slot.ref) != null) {
-                runner.tell(new BrokerEvent.Left(slot.ref));
+    private void abandon(ClientSession session) {
+        List<ClientCommand> left = new ArrayList<>(session.commands);
+        session.commands.clear();
+        for (ClientCommand command : left) {
+            session.settled(command.bytes);
+            if (open.remove(command.ref) != null) {
+                runner.tell(new BrokerEvent.Left(command.ref));
             }
         }
     }
 
-    private void flush(Session session) {
-        while (!session.slots.isEmpty() && session.slots.peek().reply != null) {
-            FrontReply reply = session.slots.poll().reply;
+    private void flush(ClientSession session) {
+        while (!session.commands.isEmpty() && session.commands.peek().reply != null) {
+            ClientCommand command = session.commands.poll();
             session.idleSince = runner.clock().now();
-            if (reply instanceof FrontReply.Fatal) {
-                end(session, reply);
+            if (command.reply instanceof FrontReply.Fatal) {
+                end(session, command.reply);
             } else {
-                write(session, reply);
+                write(session, command);
             }
         }
-        if ((closing || session.ending) && session.isIdle()) {
-            session.ending = true;
+        if (session.ending && session.isIdle()) {
             session.cutAt = runner.clock().now() + LINGER;
             session.connection.closeSilently();
+        } else if (closing && session.isIdle()) {
+            closeUnlessBusy(session);
         }
     }
 
-    private void write(Session session, FrontReply reply) {
+    private void write(ClientSession session, ClientCommand command) {
         session.writing(runner.clock().now());
-        session.connection.write(reply, new EmptyCompletionHandler<WriteResult<FrontReply, SocketAddress>>() {
+        var whenWritten = new EmptyCompletionHandler<WriteResult<FrontReply, SocketAddress>>() {
             @Override
             public void completed(WriteResult<FrontReply, SocketAddress> result) {
                 session.written(runner.clock().now());
-                session.settled();
+                session.settled(command.bytes);
             }
 
             @Override
@@ -351,11 +325,12 @@
                 // Guards against a client that does not read: its unwritten answers must not pile up.
                 session.connection.terminateSilently();
             }
-        });
+        };
+        session.connection.write(command.reply, whenWritten);
     }
 
     /** Says the last words and ends the sending; then the client has some time to take them and to close. */
-    private void end(Session session, FrontReply words) {
+    private void end(ClientSession session, FrontReply words) {
         session.ending = true;
         session.cutAt = runner.clock().now() + LINGER;
         session.connection.write(words, new EmptyCompletionHandler<WriteResult<FrontReply, SocketAddress>>() {
@@ -371,7 +346,8 @@
         });
     }
 
-    private void onClosed(Session session) {
+    private void onClosed(ClientSession session) {
+        forgetCloseRequest(session);
         if (sessions.remove(session)) {
             abandon(session);
         }
@@ -381,21 +357,26 @@
     private void sweep() {
         long now = runner.clock().now();
         long idle = sessions.size() > maxSessions / 2 ? IDLE_CROWDED : IDLE;
-        for (Session session : List.copyOf(sessions)) {
+        for (ClientSession session : List.copyOf(sessions)) {
             if (session.cutAt > 0 ? session.cutAt < now : session.isUnread(now - UNREAD)) {
                 session.connection.terminateSilently();
             } else if (!session.ending && codec.stalled(session.connection, STALL)) {
                 last(session, FrontReply.Cause.BROKEN, "a command without its end");
-            } else if (!session.ending && session.isIdle() && session.asked) {
-                session.ending = session.idleSince < now - idle;
-                flush(session);
-            } else if (!session.ending && session.isIdle() && session.idleSince < now - FIRST_COMMAND) {
-                last(session, FrontReply.Cause.BROKEN, "no command in time");
+            } else if (!session.ending && session.isIdle()) {
+                endIdle(session, now, idle);
             }
         }
         runner.loop().after(SWEEP_EVERY, this::sweep);
     }
 
+    private void endIdle(ClientSession session, long now, long idle) {
+        if (closing || session.asked && session.idleSince < now - idle) {
+            closeUnlessBusy(session);
+        } else if (!session.asked && session.idleSince < now - FIRST_COMMAND && !session.isOwedAnAnswer()) {
+            last(session, FrontReply.Cause.BROKEN, "no command in time");
+        }
+    }
+
     /** Connections come and go on the transport's threads; a descriptor too many would fail the process. */
     private synchronized void hold(int more) {
         held += more;
@@ -410,7 +391,7 @@
         @Override
         public NextAction handleAccept(FilterChainContext context) {
             Connection<SocketAddress> connection = Transport.connection(context);
-            Session session = new Session(connection);
+            ClientSession session = new ClientSession(connection);
             ofConnection.set(connection, session);
             hold(1);
             runner.loop().execute(() -> onAccepted(session));
@@ -419,17 +400,19 @@
 
         @Override
         public NextAction handleRead(FilterChainContext context) {
-            Session session = ofConnection.peek(Transport.connection(context));
+            ClientSession session = ofConnection.peek(Transport.connection(context));
             List<FrontMessage> messages = context.getMessage();
-            session.took(messages.size());
-            runner.loop().execute(() -> messages.forEach(message -> onMessage(session, message)));
+            long readAt = runner.clock().now();
+            session.read(messages);
+            runner.loop().execute(() -> messages.forEach(message -> onMessage(session, message, readAt)));
             return context.getStopAction();
         }
 
         @Override
         public NextAction handleClose(FilterChainContext context) {
-            Session session = ofConnection.peek(Transport.connection(context));
+            ClientSession session = ofConnection.peek(Transport.connection(context));
             if (session != null) {
+                session.closed();
                 hold(-1);
                 runner.loop().execute(() -> onClosed(session));
             }
--- a/src/main/java/crankwick/net/CodecFilter.java
+++ b/src/main/java/crankwick/net/CodecFilter.java
@@ -155,6 +155,12 @@
         decoders.peek(connection).asked(command);
     }
 
+    /** True if a part of a value has come in, but not its end. */
+    final boolean hasPartOfAValue(Connection<?> connection) {
+        Decoder decoder = decoders.peek(connection);
+        return decoder != null && decoder.openSince != 0;
+    }
+
     /** True if a part of a value has been lying here for so many microseconds without its end. */
     final boolean stalled(Connection<?> connection, long micros) {
         Decoder decoder = decoders.peek(connection);
--- a/src/main/java/crankwick/net/DatabasePool.java
+++ b/src/main/java/crankwick/net/DatabasePool.java
@@ -8,7 +8,6 @@
 import crankwick.broker.BrokerEvent;
 import crankwick.broker.Effect;
 import crankwick.discovery.Discovery;
-import crankwick.statement.Statement;
 import java.net.ConnectException;
 import java.net.SocketAddress;
 import java.util.ArrayDeque;
@@ -36,6 +35,7 @@
  */
 public final class DatabasePool {
     private static final Logger LOG = LoggerFactory.getLogger(DatabasePool.class);
+    private static final long MICROS_PER_MILLI = 1_000;
     private static final long PROBE_TIMEOUT = 250_000;
     /** An idle connection ends well before the database would end it under a request. */
     private static final double IDLE_SHARE = 0.5;
@@ -63,6 +63,9 @@
             this.command = command;
         }
 
+        /** False once nobody wants the command any more; asked where it would be written, on that thread. */
+        abstract boolean mayBegin();
+
         abstract void written();
 
         abstract void ended(Result result, long duration, DatabaseMessage.Answered answer);
@@ -84,11 +87,21 @@
     private final class Attempt extends Job {
         final long ref;
         final int number;
+        private final ClientCommand asked;
+        private final long beginBy;
 
-        Attempt(Effect.Send send, Supplier<DatabaseCommand> command) {
-            super(send.server(), command);
+        Attempt(Effect.Send send, ClientCommand asked) {
+            super(send.server(), () -> new DatabaseCommand.Run(asked.statement.withWait(
+                    Math.max(1, (send.expires() - runner.clock().now()) / MICROS_PER_MILLI))));
             ref = send.ref();
             number = send.attempt();
+            beginBy = send.beginBy();
+            this.asked = asked;
+        }
+
+        @Override
+        boolean mayBegin() {
+            return !asked.isAbandoned() && runner.clock().now() < beginBy;
         }
 
         @Override
@@ -114,6 +127,11 @@
             runner.loop().after(PROBE_TIMEOUT, () -> giveUp(this, Result.TIMEOUT));
         }
 
+        @Override
+        boolean mayBegin() {
+            return true;
+        }
+
         @Override
         void written() {
             // Nobody waits for this.
@@ -201,6 +219,8 @@
             Transport.whereItReads(connection, () -> {
                 if (!Transport.isQuiet(connection)) {
                     runner.loop().execute(this::onClosed);
+                } else if (!next.mayBegin()) {
+                    runner.loop().execute(() -> recallIfStill(next));
                 } else if (claim.compareAndSet(false, true)) {
                     DatabaseCommand command = next.command.get();
                     codec.expect(connection, command);
@@ -287,6 +307,12 @@
             return true;
         }
 
+        private void recallIfStill(Job unwanted) {
+            if (!gone && job == unwanted) {
+                recall(Result.NOT_SENT);
+            }
+        }
+
         /**
          * Ends the job if not a byte of its command has been written, and keeps the connection, which may
          * still be coming up; false if it has begun.
@@ -381,9 +407,8 @@
         }
     }
 
-    void send(Effect.Send send, Statement statement) {
-        Attempt attempt = new Attempt(send, () -> new DatabaseCommand.Run(
-                statement.withWait(Math.max(1, (send.expires() - runner.clock().now()) / 1_000))));
+    void send(Effect.Send send, ClientCommand asked) {
+        Attempt attempt = new Attempt(send, asked);
         attempts.put(send.ref(), attempt);
         begin(attempt);
     }
--- a/src/main/java/crankwick/net/EffectRunner.java
+++ b/src/main/java/crankwick/net/EffectRunner.java
@@ -53,7 +53,7 @@
 
     private void run(Effect effect) {
         if (effect instanceof Effect.Send e) {
-            pool.send(e, front.statement(e.ref()));
+            pool.send(e, front.command(e.ref()));
         } else if (effect instanceof Effect.Answer e) {
             front.answer(e.ref(), e.reply());
         } else if (effect instanceof Effect.Withdraw e) {
--- a/src/main/java/crankwick/net/FrontMessage.java
+++ b/src/main/java/crankwick/net/FrontMessage.java
@@ -2,12 +2,21 @@
 
 /** What a client says, whatever its wire. */
 public sealed interface FrontMessage {
+    /** How many bytes of it are kept until it is answered. */
+    default int bytes() {
+        return 0;
+    }
+
     /** It logs in for a team. */
     record Login(String team) implements FrontMessage {
     }
 
     /** One statement. */
     record Query(String text) implements FrontMessage {
+        @Override
+        public int bytes() {
+            return text.length();
+        }
     }
 
     /** The empty query: is the proxy ready? */
--- /dev/null
+++ b/src/test/java/crankwick/app/CrossingsTest.java
@@ -0,0 +1,179 @@
+package crankwick.app;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertNull;
+import static org.testng.Assert.assertTrue;
+
+import java.util.concurrent.CountDownLatch;
+import org.testng.annotations.Test;
+
+/** Bytes that arrive in the very moment in which something ends, in an order that each test forces. */
+public class CrossingsTest {
+    private static final int WAIT_MS = 5_000;
+    private static final long TEST_TIMEOUT_MS = 30_000;
+
+    /** After SIGTERM the connection is idle for the loop, while its command has just been read. */
+    @Test(timeOut = TEST_TIMEOUT_MS)
+    public void commandReadAsTheProxyClosesIsAnswered() throws Exception {
+        try (HeldFront proxy = new HeldFront(10); HeldFront.Client client = proxy.new Client()) {
+            HeldFront.Hold hold = proxy.hold();
+            proxy.loop.execute(() -> proxy.front.close(proxy.clock.now() + WAIT_MS * HeldFront.MS));
+            client.write("1", WAIT_MS);
+            hold.release();
+            assertEquals(client.answer(), "Served primary:1");
+            assertNull(client.answer());
+        }
+    }
+
+    /** A connection has been idle for its whole time, and its command has just been read. */
+    @Test(timeOut = TEST_TIMEOUT_MS)
+    public void commandReadAsItsIdleConnectionEndsIsAnswered() throws Exception {
+        try (HeldFront proxy = new HeldFront(2); HeldFront.Client client = proxy.new Client();
+                HeldFront.Client other = proxy.new Client()) {
+            HeldFront.Hold hold = proxy.hold();
+            Thread.sleep(2_500);
+            client.write("1", WAIT_MS);
+            hold.release();
+            assertEquals(client.answer(), "Served primary:1");
+            assertNull(other.answer());
+        }
+    }
+
+    /** An idle connection is to make room for a new one, and its command has just been read. */
+    @Test(timeOut = TEST_TIMEOUT_MS)
+    public void commandReadAsItsConnectionMakesRoomIsAnswered() throws Exception {
+        try (HeldFront proxy = new HeldFront(1); HeldFront.Client client = proxy.new Client()) {
+            HeldFront.Hold hold = proxy.hold();
+            proxy.awaitReader();
+            client.write("1", WAIT_MS);
+            hold.release();
+            assertEquals(client.answer(), "Served primary:1");
+        }
+    }
+
+    /** Half a command has been read when the proxy closes: its other half comes, and then its answer. */
+    @Test(timeOut = TEST_TIMEOUT_MS)
+    public void commandReadInHalfAsTheProxyClosesIsAnswered() throws Exception {
+        try (HeldFront proxy = new HeldFront(10); HeldFront.Client client = proxy.new Client()) {
+            HeldFront.Hold hold = proxy.hold();
+            client.begin("/* id=1,c=write,d=5000,k=k1,clus");
+            proxy.awaitReader();
+            hold.release();
+            proxy.onLoop(() -> proxy.front.close(proxy.clock.now() + WAIT_MS * HeldFront.MS));
+            client.send("ter=0 */ INSERT");
+            assertEquals(client.answer(), "Served primary:1");
+            assertNull(client.answer());
+        }
+    }
+
+    /** The connection to the database is up; the client has closed, which the loop has not heard yet. */
+    @Test(timeOut = TEST_TIMEOUT_MS)
+    public void nothingIsWrittenForAClientThatHasJustClosed() throws Exception {
+        try (HeldFront proxy = new HeldFront(10); HeldFront.Client other = proxy.new Client()) {
+            HeldFront.Client leaver = proxy.new Client();
+            HeldFront.Hold beforeGreeting = greetedWhileHeld(proxy, leaver);
+            HeldFront.Hold beforeClose = proxy.queueHold();
+            leaver.close();
+            letGreetingPass(proxy, beforeGreeting, beforeClose);
+            other.write("2", WAIT_MS);
+            assertEquals(other.answer(), "Served primary:2");
+            assertEquals(proxy.ledger.sent("1"), 0, proxy.ledger.seen.toString());
+        }
+    }
+
+    /** The same of a client that cancels its command and stays. */
+    @Test(timeOut = TEST_TIMEOUT_MS)
+    public void nothingIsWrittenForACommandThatHasJustBeenCancelled() throws Exception {
+        try (HeldFront proxy = new HeldFront(10); HeldFront.Client client = proxy.new Client()) {
+            HeldFront.Hold beforeGreeting = greetedWhileHeld(proxy, client);
+            HeldFront.Hold beforeCancel = proxy.queueHold();
+            client.send(LineFront.CANCEL);
+            letGreetingPass(proxy, beforeGreeting, beforeCancel);
+            assertEquals(client.answer(), "AttentionHeard");
+            client.write("2", WAIT_MS);
+            assertEquals(client.answer(), "Served primary:2");
+            assertEquals(proxy.ledger.sent("1"), 0, proxy.ledger.seen.toString());
+        }
+    }
+
+    /** A write of id 1 waits for its connection, whose greeting is behind the held loop when this returns. */
+    private static HeldFront.Hold greetedWhileHeld(HeldFront proxy, HeldFront.Client client)
+            throws Exception {
+        proxy.database.greeting = new CountDownLatch(1);
+        client.write("1", WAIT_MS);
+        while (proxy.database.opened.get() == 0) {
+            Thread.sleep(1);
+        }
+        HeldFront.Hold hold = proxy.hold();
+        proxy.database.greeting.countDown();
+        while (proxy.database.greeted.get() == 0) {
+            Thread.sleep(1);
+        }
+        proxy.awaitReader();
+        return hold;
+    }
+
+    /** The reader has seen the client go when the loop hears of the greeting; the loop hears of it after. */
+    private static void letGreetingPass(HeldFront proxy, HeldFront.Hold beforeGreeting,
+            HeldFront.Hold beforeEnd) throws Exception {
+        proxy.awaitReader();
+        beforeGreeting.release();
+        beforeEnd.await();
+        proxy.awaitReader();
+        beforeEnd.release();
+    }
+
+    /** A repeat's connection comes up after the window in which databases discard repeats. */
+    @Test(timeOut = TEST_TIMEOUT_MS)
+    public void repeatIsNotWrittenOnceItsKeysWindowIsOver() throws Exception {
+        try (HeldFront proxy = new HeldFront(10); HeldFront.Client client = proxy.new Client()) {
+            proxy.database.word = "BREAK";
+            proxy.database.delayMs = 200;
+            client.write("1", WAIT_MS);
+            while (proxy.ledger.sent("1") == 0) {
+                Thread.sleep(1);
+            }
+            proxy.database.greeting = new CountDownLatch(1);
+            int opened = proxy.database.opened.get();
+            while (proxy.database.opened.get() == opened) {
+                Thread.sleep(1);
+            }
+            Thread.sleep(HeldFront.KEY_TTL / HeldFront.MS);
+            proxy.database.word = "VALUE";
+            proxy.database.greeting.countDown();
+            assertEquals(client.answer(), "Failed");
+            assertEquals(proxy.ledger.sent("1"), 1, proxy.ledger.seen.toString());
+        }
+    }
+
+    /** The time that a database is told counts from when the command was read, however late the loop is. */
+    @Test(timeOut = TEST_TIMEOUT_MS)
+    public void lateLoopLeavesADatabaseLessTime() throws Exception {
+        try (HeldFront proxy = new HeldFront(10); HeldFront.Client client = proxy.new Client()) {
+            HeldFront.Hold hold = proxy.hold();
+            client.write("1", WAIT_MS);
+            Thread.sleep(400);
+            hold.release();
+            assertEquals(client.answer(), "Served primary:1");
+            String told = proxy.ledger.seen.get(0).statement().replaceAll(".*,d=(\\d+),.*", "$1");
+            assertTrue(Integer.parseInt(told) <= WAIT_MS - 400, told);
+        }
+    }
+
+    /** Guards against reading so little ahead that a client's close behind its commands is not seen. */
+    @Test(timeOut = TEST_TIMEOUT_MS)
+    public void closeBehindManyUnansweredCommandsIsSeen() throws Exception {
+        try (HeldFront proxy = new HeldFront(10)) {
+            proxy.database.word = "SILENT";
+            HeldFront.Client client = proxy.new Client();
+            for (int i = 1; i <= 200; i++) {
+                client.write(Integer.toString(i), WAIT_MS);
+            }
+            proxy.awaitReader();
+            assertEquals(proxy.owed(), 200);
+            client.close();
+            proxy.awaitReader();
+            assertEquals(proxy.owed(), 0);
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/crankwick/app/HeldFront.java
@@ -0,0 +1,203 @@
+package crankwick.app;
+
+import crankwick.RouterApi.Limits;
+import crankwick.RouterApi.ListKind;
+import crankwick.RouterApi.ListRole;
+import crankwick.RouterApi.Member;
+import crankwick.RouterApi.Need;
+import crankwick.RouterApi.Prices;
+import crankwick.RouterApi.Repeat;
+import crankwick.RouterApi.RequestClass;
+import crankwick.RouterApi.Role;
+import crankwick.RouterApi.Rules;
+import crankwick.RouterApi.Scope;
+import crankwick.RouterApi.Settings;
+import crankwick.RouterApi.Standing;
+import crankwick.RouterApi.WhenBehind;
+import crankwick.broker.Broker;
+import crankwick.broker.Contract;
+import crankwick.discovery.Discovery;
+import crankwick.net.ClientFront;
+import crankwick.net.Clock;
+import crankwick.net.DatabasePool;
+import crankwick.net.EffectRunner;
+import crankwick.net.EventLoop;
+import crankwick.net.Transport;
+import crankwick.pg.PgDatabaseCodec;
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.InputStreamReader;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.atomic.AtomicLong;
+
+/**
+ * A front with one primary behind it, in this process. A test holds the loop while bytes arrive, so that the
+ * order in which the loop and the thread that reads come upon them is the test's own.
+ */
+final class HeldFront implements AutoCloseable {
+    static final long MS = 1_000;
+    static final long KEY_TTL = 1_000 * MS;
+    private static final long CONNECT_TIMEOUT = 9_000 * MS;
+    private static final long IDLE_LIMIT = 60_000 * MS;
+    private static final int MAX_LINKS = 100;
+
+    final StandIn.Ledger ledger = new StandIn.Ledger();
+    final StandIn database;
+    final LineFront wire = new LineFront();
+    final Clock clock = new Clock();
+    final EventLoop loop = new EventLoop("held");
+    final Broker broker;
+    final ClientFront front;
+    private final Transport transport = new Transport();
+    private final List<Hold> holds = new ArrayList<>();
+
+    HeldFront(int maxSessions) throws Exception {
+        Settings settings = new Settings(1, 0, false, true, true, WhenBehind.WAIT, ListRole.LATE,
+                new Rules(20 * MS, 2_000 * MS, false, 0.18, 16_000 * MS, 2.5, 2_000 * MS),
+                new Limits(true, true, true, 2_000 * MS, 8, CONNECT_TIMEOUT), new Prices(0.01, 0.02, 0.05),
+                List.of(new RequestClass(Need.WRITE, 0, Repeat.KEYED, Scope.GROUP, KEY_TTL, 2_000 * MS,
+                        6_000 * MS, 6, 0.5)));
+        broker = new Broker(settings, 1, Map.of("", Contract.UNLIMITED), null);
+        EffectRunner runner = new EffectRunner(broker, loop, clock);
+        front = new ClientFront(runner, settings.classes(), List.of("write"), ""::equals, maxSessions);
+        runner.attach(front, new DatabasePool(runner, transport, new PgDatabaseCodec(), CONNECT_TIMEOUT,
+                IDLE_LIMIT, MAX_LINKS));
+        database = new StandIn("primary", "read-write", new PgWire(), ledger);
+        var address = new InetSocketAddress("127.0.0.1", database.listener.getLocalPort());
+        Member member = new Member("primary", 0, 0, Role.PRIMARY, Standing.LIVE, 0);
+        loop.execute(() -> {
+            runner.listed(new Discovery.News(ListKind.FULL, List.of(new Discovery.Host(member, address))));
+            front.ready();
+        });
+        front.listen(transport, new InetSocketAddress("127.0.0.1", 0), wire);
+    }
+
+    /** The loop stands still from where this is in its queue; what arrives later waits its turn. */
+    static final class Hold {
+        private final CountDownLatch holding = new CountDownLatch(1);
+        private final CountDownLatch released = new CountDownLatch(1);
+
+        private void run() {
+            holding.countDown();
+            try {
+                released.await();
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+        }
+
+        void await() throws InterruptedException {
+            holding.await();
+        }
+
+        void release() {
+            released.countDown();
+        }
+    }
+
+    /** Puts a hold at the end of the loop's queue. */
+    Hold queueHold() {
+        Hold hold = new Hold();
+        holds.add(hold);
+        loop.execute(hold::run);
+        return hold;
+    }
+
+    /** The loop stands still when this returns. */
+    Hold hold() throws InterruptedException {
+        Hold hold = queueHold();
+        hold.await();
+        return hold;
+    }
+
+    /** Runs a task on the loop and waits for it. */
+    void onLoop(Runnable task) throws InterruptedException {
+        CountDownLatch done = new CountDownLatch(1);
+        loop.execute(() -> {
+            task.run();
+            done.countDown();
+        });
+        done.await();
+    }
+
+    /** Requests that are still owed an answer. */
+    long owed() throws InterruptedException {
+        AtomicLong owed = new AtomicLong();
+        onLoop(() -> owed.set(broker.owed()));
+        return owed.get();
+    }
+
+    /**
+     * What had arrived before has been read when this returns. Of what arrives together any may be read
+     * first, so the second connection is the one that surely comes behind.
+     */
+    void awaitReader() throws IOException, InterruptedException {
+        wire.accepted.drainPermits();
+        for (int i = 0; i < 2; i++) {
+            try (Socket socket = new Socket()) {
+                socket.connect(front.address());
+                wire.accepted.acquire();
+            }
+        }
+    }
+
+    /** A client that has asked once. */
+    final class Client implements AutoCloseable {
+        private final Socket socket = new Socket();
+        private final BufferedReader in;
+
+        Client() throws IOException, InterruptedException {
+            socket.connect(front.address());
+            socket.setTcpNoDelay(true);
+            socket.setSoTimeout(20_000);
+            in = new BufferedReader(new InputStreamReader(socket.getInputStream(),
+                    StandardCharsets.US_ASCII));
+            send("");
+            List<String> answers = new ArrayList<>(List.of(answer(), answer()));
+            if (!answers.equals(List.of("Welcome", "Nothing"))) {
+                throw new IOException(answers.toString());
+            }
+            onLoop(() -> { });
+        }
+
+        /** Sends a command; with the loop held, the reader has it when this returns. */
+        void send(String line) throws IOException, InterruptedException {
+            wire.read.drainPermits();
+            socket.getOutputStream().write((line + "\n").getBytes(StandardCharsets.US_ASCII));
+            wire.read.acquire();
+        }
+
+        /** Sends a part of a command. */
+        void begin(String part) throws IOException {
+            socket.getOutputStream().write(part.getBytes(StandardCharsets.US_ASCII));
+        }
+
+        void write(String id, int waitMs) throws IOException, InterruptedException {
+            send("/* id=" + id + ",c=write,d=" + waitMs + ",k=k" + id + ",cluster=0 */ INSERT");
+        }
+
+        /** The next answer; null where the proxy has ended the connection. */
+        String answer() throws IOException {
+            return in.readLine();
+        }
+
+        @Override
+        public void close() throws IOException {
+            socket.close();
+        }
+    }
+
+    @Override
+    public void close() throws IOException {
+        holds.forEach(Hold::release);
+        loop.close();
+        transport.close();
+        database.close();
+    }
+}
--- /dev/null
+++ b/src/test/java/crankwick/app/LineFront.java
@@ -0,0 +1,76 @@
+package crankwick.app;
+
+import crankwick.broker.Reply;
+import crankwick.net.CodecFilter;
+import crankwick.net.FrontMessage;
+import crankwick.net.FrontReply;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.util.concurrent.Semaphore;
+import org.glassfish.grizzly.filterchain.FilterChainContext;
+
+/** A client's wire of one line a command, which tells a test what the thread that reads has seen by now. */
+final class LineFront extends CodecFilter {
+    static final String CANCEL = "cancel";
+
+    /** One permit for each connection that has been accepted, and for each command that has been read. */
+    final Semaphore accepted = new Semaphore(0);
+    final Semaphore read = new Semaphore(0);
+
+    @Override
+    protected Decoder newDecoder() {
+        accepted.release();
+        return new Lines();
+    }
+
+    private final class Lines extends Decoder {
+        private boolean loggedIn;
+
+        @Override
+        protected boolean decode(ByteBuffer in, FilterChainContext context) {
+            byte[] all = new byte[in.remaining()];
+            in.duplicate().get(all);
+            int end = new String(all, StandardCharsets.US_ASCII).indexOf('\n');
+            if (end < 0) {
+                return false;
+            }
+            in.position(in.position() + end + 1);
+            if (!loggedIn) {
+                loggedIn = true;
+                emit(new FrontMessage.Login(""));
+            }
+            String line = new String(all, 0, end, StandardCharsets.US_ASCII);
+            if (line.equals(CANCEL)) {
+                emit(new FrontMessage.Attention());
+            } else {
+                emit(line.isEmpty() ? new FrontMessage.Empty() : new FrontMessage.Query(line));
+            }
+            read.release();
+            return true;
+        }
+
+        @Override
+        protected int begun() {
+            return 0;
+        }
+
+        @Override
+        protected Object brokenBy(String fault) {
+            return new FrontMessage.Broken(fault);
+        }
+    }
+
+    @Override
+    public byte[] encode(Object value) {
+        return (text(value) + "\n").getBytes(StandardCharsets.US_ASCII);
+    }
+
+    private static String text(Object value) {
+        if (!(value instanceof FrontReply.Final answer)) {
+            return value.getClass().getSimpleName();
+        }
+        return answer.reply() instanceof Reply.Served served
+                ? "Served " + new String(served.value(), StandardCharsets.US_ASCII)
+                : answer.reply().getClass().getSimpleName();
+    }
+}
--- a/src/test/java/crankwick/app/StandIn.java
+++ b/src/test/java/crankwick/app/StandIn.java
@@ -11,6 +11,7 @@
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 
@@ -53,6 +54,9 @@
     volatile int delayMs;
     /** A new connection is greeted after so long. */
     volatile int greetMs;
+    /** A new connection is greeted once this is open; how many were. */
+    volatile CountDownLatch greeting = new CountDownLatch(0);
+    final AtomicInteger greeted = new AtomicInteger();
     /** Every fifth new connection is reset, and what had been answered on is reset by the next statement. */
     volatile boolean resets;
     private int accepted;
@@ -106,7 +110,9 @@
             }
             opened.incrementAndGet();
             Thread.sleep(greetMs);
+            greeting.await();
             wire.greet(socket, in);
+            greeted.incrementAndGet();
             for (int asked = 0;; asked++) {
                 socket.setSoTimeout(idleMs);
                 String statement = wire.statement(in);
