Router: its estimates are classes of their own, each with its unit test

Change, old name to new class: sends/sendsAt and strikes/struckAt (exponentially fading counts) to DecayingCount; roleLatency/roleLatencyAt to FadingMean; usual[] to QuantileEstimate; firstWait/votes to FirstTryPatience; tokens/floor to SessionPositions. None decides anything: they take samples in and give figures out.

--- a/src/main/java/crankwick/Router.java
+++ b/src/main/java/crankwick/Router.java
@@ -8,6 +8,7 @@
 import crankwick.RouterState.Server;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.EnumMap;
 import java.util.EnumSet;
 import java.util.HashMap;
 import java.util.Iterator;
@@ -110,15 +111,10 @@
     /** Further attempts for each request taken, and how many may be saved up. */
     private static final double RESEND_EARN = 0.25;
     private static final double RESEND_MAX = 30;
-    /** Sessions remembered for each group; older ones fold into the group's floor. */
-    private static final int SESSIONS_MAX = 20_000;
     /** Final answers come this long before the client leaves. */
     private static final long GIVE_UP_MARGIN = 30 * MS;
     /** A client with less of an aim left than this came impatient; it is no later try. */
     private static final double IMPATIENT = 0.65;
-    /** Agreeing requests before the time that a class's clients bring counts as known, and at most. */
-    private static final int VOTES_LEAST = 3;
-    private static final int VOTES_MAX = 30;
     private static final long DISCOVERY_BACKOFF = 500 * MS;
     private static final long WATCH_TIMER = 0;
     /** A server that has left the list and was not heard for so long is forgotten. */
@@ -138,9 +134,8 @@
     private final Map<Long, Group> groups = new LinkedHashMap<>();
     private final Map<Long, Pending> open = new HashMap<>();
     private final List<Integer> classOrder = new ArrayList<>();
-    private final double[] usual;
-    private final long[] firstWait;
-    private final int[] votes;
+    private final List<QuantileEstimate> usual = new ArrayList<>();
+    private final List<FirstTryPatience> firstTries = new ArrayList<>();
     private final double probeEarn;
     /** How many times dearer than that probes are, 1 at least. */
     private final double dear;
@@ -150,11 +145,9 @@
     private double probeCredit = PROBE_MAX;
     /** Whether asking a member can tell how busy it is. */
     private boolean reportsLoad;
-    private double sends;
-    private long sendsAt;
+    private final DecayingCount sends = new DecayingCount(RATE_SPAN);
     private double fleetUse = 1;
-    private final double[] roleLatency = new double[Role.values().length];
-    private final long[] roleLatencyAt = new long[roleLatency.length];
+    private final Map<Role, FadingMean> roleLatency = new EnumMap<>(Role.class);
     private long discoveryBackoff = DISCOVERY_BACKOFF;
     private long now;
     private long belief;
@@ -168,11 +161,12 @@
         probeEarn = Math.min(PROBE_EARN, PROBE_POINTS / Math.max(1e-9, settings.prices().probe()));
         dear = Math.max(1, settings.prices().probe() / PROBE_PRICE);
         doubt = DOUBT + DOUBT_RISE * Math.log(dear);
-        usual = new double[classes.size()];
-        firstWait = new long[classes.size()];
-        votes = new int[classes.size()];
-        for (int i = 0; i < usual.length; i++) {
-            usual[i] = classes.get(i).aim() / 8.0;
+        for (Role role : Role.values()) {
+            roleLatency.put(role, new FadingMean(ROLE_GAIN, LATENCY_CALM, LATENCY_MEMORY));
+        }
+        for (int i = 0; i < classes.size(); i++) {
+            usual.add(new QuantileEstimate(CLASS_GAIN, CLASS_QUANTILE, classes.get(i).aim() / 8.0));
+            firstTries.add(new FirstTryPatience(GIVE_UP_MARGIN));
             classOrder.add(i);
             mostWorth = Math.max(mostWorth, classes.get(i).worth());
         }
@@ -210,7 +204,7 @@
     private void onRequest(Request r) {
         RequestClass kind = settings.classes().get(r.cls());
         // Guards against a group for each number that clients make up: one without members is not kept.
-        Group g = groups.getOrDefault(r.group(), new Group(r.group(), usual.length));
+        Group g = groups.getOrDefault(r.group(), new Group(r.group(), usual.size()));
         Pending p = new Pending(r, kind, g, tokenOf(r, kind, g), firstAsked(r, kind));
         open.put(r.id(), p);
         resends = Math.min(RESEND_MAX, resends + RESEND_EARN);
@@ -319,7 +313,7 @@
     private void hearListed(Member m) {
         Server s = servers.get(m.server());
         if (s == null) {
-            s = new Server(m, group(m.group()));
+            s = new Server(m, group(m.group()), new DecayingCount(STRIKE_MEMORY));
             s.latency = LATENCY_CALM;
             s.limit = Math.max(1, LIMIT_START / settings.instances());
             servers.put(s.id, s);
@@ -410,9 +404,7 @@
             remember(p, o.position());
         }
         if (TIMED.contains(o.result())) {
-            double before = roleLatency(s.role);
-            roleLatency[s.role.ordinal()] = before + ROLE_GAIN * (o.duration() / usual(p) - before);
-            roleLatencyAt[s.role.ordinal()] = now;
+            roleLatency.get(s.role).learn(o.duration() / usual(p), now);
         }
         if (o.result() == Result.OK) {
             sample(s, p, o.duration());
@@ -433,8 +425,7 @@
     }
 
     private void sample(Server s, Pending p, long duration) {
-        boolean above = duration > usual(p);
-        usual[p.request.cls()] *= 1 + CLASS_GAIN * (above ? CLASS_QUANTILE : CLASS_QUANTILE - 1);
+        usual.get(p.request.cls()).learn(duration);
         s.latency = latency(s) + LATENCY_GAIN * (duration / usual(p) - latency(s));
         s.latencyAt = now;
         if (duration > LATE_SHARE * p.kind.aim()) {
@@ -449,7 +440,7 @@
     }
 
     private double usual(Pending p) {
-        return usual[p.request.cls()];
+        return usual.get(p.request.cls()).value();
     }
 
     private double latency(Server s) {
@@ -463,8 +454,7 @@
      * seconds, so only all together tell it of a rush in time. It may hurt where some groups are slow alone.
      */
     private double roleLatency(Role role) {
-        int i = role.ordinal();
-        return LATENCY_CALM + left(roleLatencyAt[i], LATENCY_MEMORY) * (roleLatency[i] - LATENCY_CALM);
+        return roleLatency.get(role).at(now);
     }
 
     /** Usual durations that an answer takes there: as its answers have it, or as its report does. */
@@ -482,13 +472,7 @@
         if (settings.tokensCarried() || p.request.session() == NONE || commit == NONE) {
             return;
         }
-        Map<Long, Long> tokens = p.group.tokens;
-        tokens.merge(p.request.session(), commit, Math::max);
-        if (tokens.size() > SESSIONS_MAX) {
-            Iterator<Map.Entry<Long, Long>> eldest = tokens.entrySet().iterator();
-            p.group.floor = Math.max(p.group.floor, eldest.next().getValue());
-            eldest.remove();
-        }
+        p.group.tokens.remember(p.request.session(), commit);
     }
 
     // ---- Read path -----------------------------------------------------------------------------------
@@ -501,7 +485,7 @@
         if (settings.tokensCarried()) {
             return r.tokenAge() > 0 ? now - r.tokenAge() : Long.MIN_VALUE;
         }
-        return g.tokens.getOrDefault(r.session(), g.floor);
+        return g.tokens.get(r.session());
     }
 
     private long owed(Pending p) {
@@ -656,13 +640,8 @@
         if (left < IMPATIENT * kind.aim()) {
             return now;
         }
-        boolean usualTime = Math.abs(left - firstWait[r.cls()]) <= GIVE_UP_MARGIN;
-        votes[r.cls()] = Math.min(VOTES_MAX, votes[r.cls()] + (usualTime ? 1 : -1));
-        if (votes[r.cls()] < 0) {
-            firstWait[r.cls()] = left;
-            votes[r.cls()] = 1;
-        }
-        return usualTime || votes[r.cls()] < VOTES_LEAST ? now : Math.min(now, r.expires() - kind.deadline());
+        boolean first = firstTries.get(r.cls()).isFirstTry(left);
+        return first ? now : Math.min(now, r.expires() - kind.deadline());
     }
 
     /** Load shedding: no member gets what it can't be expected to answer in time; late work only if calm. */
@@ -830,7 +809,7 @@
         s.inFlight++;
         s.sentAt = now;
         s.coldCredit--;
-        sends = recentSends() + 1;
+        sends.add(now);
         if (s.outUntil != NONE) {
             leaveOut(s);
         }
@@ -988,12 +967,11 @@
 
     /** What has failed or been silent again and again is drawn less and left out longer than once. */
     private void strike(Server s) {
-        s.strikes = strikes(s) + 1;
-        s.struckAt = now;
+        s.strikes.add(now);
     }
 
     private double strikes(Server s) {
-        return s.strikes * Math.exp((s.struckAt - now) / (double) STRIKE_MEMORY);
+        return s.strikes.at(now);
     }
 
     // ---- Cold start ----------------------------------------------------------------------------------
@@ -1038,8 +1016,6 @@
     }
 
     private double recentSends() {
-        sends *= Math.exp((sendsAt - now) / (double) RATE_SPAN);
-        sendsAt = now;
-        return sends;
+        return sends.at(now);
     }
 }
--- a/src/main/java/crankwick/RouterState.java
+++ b/src/main/java/crankwick/RouterState.java
@@ -55,10 +55,10 @@
         double failures;
         long outSince;
         long outUntil = RouterApi.NONE;
-        double strikes;
-        long struckAt;
+        final DecayingCount strikes;
 
-        Server(Member m, Group group) {
+        Server(Member m, Group group, DecayingCount strikes) {
+            this.strikes = strikes;
             id = m.server();
             zone = m.zone();
             this.group = group;
@@ -98,9 +98,8 @@
         final List<Server> members = new ArrayList<>();
         /** One queue a class. */
         final List<ArrayDeque<Pending>> waiting = new ArrayList<>();
-        /** Last commits by session, the eldest first; sessions not in it owe the floor. */
-        final LinkedHashMap<Long, Long> tokens = new LinkedHashMap<>(16, 0.75f, true);
-        long floor = Long.MIN_VALUE;
+        /** Last commits by session. */
+        final SessionPositions tokens = new SessionPositions();
         final LinkedHashMap<Long, Pending> out = new LinkedHashMap<>();
         /** The earliest look that is armed. */
         long dueAt = Long.MAX_VALUE;
--- /dev/null
+++ b/src/test/java/crankwick/EstimatesTest.java
@@ -0,0 +1,64 @@
+package crankwick;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import org.junit.jupiter.api.Test;
+
+/** The estimates that the router decides by, each on its own. */
+class EstimatesTest {
+    @Test
+    void countedEventsFadeByTheirTimeConstant() {
+        DecayingCount count = new DecayingCount(1_000);
+        count.add(0);
+        count.add(0);
+        assertEquals(2 / Math.E, count.at(1_000), 1e-9);
+        count.add(1_000);
+        assertEquals(2 / Math.E + 1, count.at(1_000), 1e-9);
+    }
+
+    @Test
+    void meanMovesByItsGainAndRestsAgain() {
+        FadingMean mean = new FadingMean(0.5, 2, 1_000);
+        assertEquals(2, mean.at(5_000));
+        mean.learn(4, 5_000);
+        assertEquals(3, mean.at(5_000));
+        assertEquals(2.5, mean.at(5_500));
+        assertEquals(2, mean.at(7_000));
+    }
+
+    @Test
+    void quantileSettlesWhereItsShareOfSamplesLiesBelow() {
+        QuantileEstimate estimate = new QuantileEstimate(0.01, 0.3, 50);
+        for (int i = 0; i < 20_000; i++) {
+            estimate.learn(i * 37 % 100);
+        }
+        assertEquals(30, estimate.value(), 2);
+    }
+
+    @Test
+    void patienceOfFirstTriesIsKnownByThreeThatAgree() {
+        FirstTryPatience patience = new FirstTryPatience(10);
+        for (int i = 0; i < 3; i++) {
+            assertTrue(patience.isFirstTry(500 + i));
+        }
+        assertTrue(patience.isFirstTry(505));
+        assertFalse(patience.isFirstTry(300));
+        assertTrue(patience.isFirstTry(500));
+    }
+
+    @Test
+    void forgottenSessionsMustSeeTheNewestPositionForgotten() {
+        SessionPositions positions = new SessionPositions();
+        assertEquals(Long.MIN_VALUE, positions.get(1));
+        positions.remember(1, 70);
+        positions.remember(1, 50);
+        assertEquals(70, positions.get(1));
+        for (int session = 2; session <= 20_001; session++) {
+            positions.remember(session, 100 + session);
+        }
+        assertEquals(70, positions.get(1));
+        assertEquals(102, positions.get(2));
+    }
+}
