--- a/src/main/java/crankwick/FirstTryPatience.java
+++ b/src/main/java/crankwick/FirstTryPatience.java
@@ -7,6 +7,7 @@
 final class FirstTryPatience {
     /** Agreeing requests before the time counts as known, and at most. */
     private static final int VOTES_LEAST = 3;
+
     private static final int VOTES_MOST = 30;
 
     private final long tolerance;
--- a/src/main/java/crankwick/Router.java
+++ b/src/main/java/crankwick/Router.java
@@ -34,17 +34,21 @@
      * member to this gateway; a member heard longer ago is asked before it is used, while probes are earned.
      */
     private static final long FRESH = 300 * MS;
+
     private static final double BELIEF_GAPS = 4;
     /** An asked member silent for so long: is passed over; has safe work withdrawn; counts as lost. */
     private static final long ASK_WAIT = 25 * MS;
+
     private static final long SILENCE = 80 * MS;
     private static final long LOST_AFTER = 400 * MS;
     /** A member is asked again after about a report's period; later if silent or far behind a token. */
     private static final long ASK_AGAIN = 80 * MS;
+
     private static final long ASK_FAR = 500 * MS;
     private static final long ASK_REACH = SECOND;
     /** Probes earned by each request: at most, and as points spent on them; saved up for a start. */
     private static final double PROBE_EARN = 1;
+
     private static final double PROBE_POINTS = 0.03;
     private static final double PROBE_MAX = 40;
     /**
@@ -52,6 +56,7 @@
      * for each e-fold that probes are dearer: the longest works are exponentially fewer.
      */
     private static final double DOUBT = 2.5;
+
     private static final double DOUBT_RISE = 2;
     /** At this price of probes, in points for one a request, the spans between questions are as stated. */
     private static final double PROBE_PRICE = 0.02;
@@ -59,20 +64,25 @@
     private static final double OVERDUE = 5;
     /** A class's usual duration is held at a low quantile, so that overload hardly lifts it. */
     private static final double CLASS_GAIN = 0.02;
+
     private static final double CLASS_QUANTILE = 0.3;
     /** A member's latency in usual durations: the mean over that quantile, unless it has shown another. */
     private static final double LATENCY_CALM = 1.8;
+
     private static final double LATENCY_GAIN = 0.2;
     /** The same of all members of a role, attempts that were withdrawn or timed out among them. */
     private static final double ROLE_GAIN = 0.05;
     /** What was learnt or reported of a member fades, so that it is tried again. */
     private static final long LATENCY_MEMORY = 2 * SECOND;
+
     private static final long QUEUE_MEMORY = SECOND;
     /** Requests that a member has in work at once, about, and what each further one adds to an answer. */
     private static final double PARALLEL = 3;
+
     private static final double QUEUE_STEP = 2.5 / PARALLEL;
     /** From this share of busy cores on, work only queues; below the second, a primary has room for reads. */
     private static final double FULL_USE = 0.9;
+
     private static final double SPARE_USE = 0.8;
     /** Lag of a busy replica at which the worthiest class leaves it alone; others at their share of it. */
     private static final long CROWDED_LAG = 1_500 * MS;
@@ -82,21 +92,26 @@
     private static final double ZONE_AVERSION = 50;
     /** Answers later than this share of the aim, or a replica so far behind, cut the limit by a fifth. */
     private static final double LATE_SHARE = 0.45;
+
     private static final long LATE_LAG = 600 * MS;
     private static final double LIMIT_CUT = 0.8;
     /** Concurrency limit at the start and at least, over all instances; the latter a second where cold. */
     private static final double LIMIT_START = 18;
+
     private static final double LIMIT_MIN = 3;
     private static final double LIMIT_RISE = 0.3;
     /** Share of recent attempts that fail before a member is ejected: under half, it still helps. */
     private static final double EJECT_FAILURES = 0.5;
+
     private static final double FAILURE_GAIN = 0.2;
     /** First exclusion, past short pauses; it doubles with each strike, and strikes fade. */
     private static final long EJECT_FIRST = 400 * MS;
+
     private static final long EJECT_MAX = 4 * SECOND;
     private static final long STRIKE_MEMORY = 10 * SECOND;
     /** Where replicas check reads: how far behind one may be to be tried (a report's age), and its rest. */
     private static final long CLOSE_BEHIND = 500 * MS;
+
     private static final long MISS_REST = 40 * MS;
     /** A role not heard for this long may be tried again by a write. */
     private static final long ROLE_MEMORY = 2 * SECOND;
@@ -104,15 +119,18 @@
     private static final double COLD_SHARE = 0.65;
     /** Sends are counted over this span; the fleet's use is smoothed, and never taken as less than this. */
     private static final long RATE_SPAN = 5 * SECOND;
+
     private static final double USE_GAIN = 0.05;
     private static final double USE_LEAST = 0.4;
     /** Further attempts for each request taken, and how many may be saved up. */
     private static final double RESEND_EARN = 0.25;
+
     private static final double RESEND_MAX = 30;
     /** Final answers come this long before the client leaves. */
     private static final long GIVE_UP_MARGIN = 30 * MS;
     /** A client with less of an aim left than this came impatient; it is no later try. */
     private static final double IMPATIENT = 0.65;
+
     private static final long DISCOVERY_BACKOFF = 500 * MS;
     private static final long WATCH_TIMER = 0;
     /** A server that has left the list and was not heard for so long is forgotten. */
@@ -121,6 +139,7 @@
     private static final Set<Result> LIFE = EnumSet.of(Result.OK, Result.ERROR, Result.FULL, Result.MISS);
     /** Outcomes that tell how long an answer takes, or has taken at least. */
     private static final Set<Result> TIMED = EnumSet.of(Result.OK, Result.TIMEOUT, Result.CANCELLED);
+
     private static final Set<Result> FAILURES =
             EnumSet.of(Result.ERROR, Result.RESET, Result.FULL, Result.UNREACHABLE, Result.DROPPED);
 
@@ -135,12 +154,14 @@
     private final double probeEarn;
     /** How many times dearer than that probes are, 1 at least. */
     private final double dear;
+
     private final double doubt;
     private double mostWorth;
     private double resends = RESEND_MAX;
     private double probeCredit = PROBE_MAX;
     /** Whether asking a member can tell how busy it is. */
     private boolean reportsLoad;
+
     private final DecayingCount sends = new DecayingCount(RATE_SPAN);
     private double fleetUse = 1;
     private final Map<Role, FadingMean> roleLatency = new EnumMap<>(Role.class);
@@ -154,14 +175,16 @@
         this.settings = settings;
         random = new SplittableRandom(seed);
         List<RequestClass> classes = settings.classes();
-        probeEarn = Math.min(PROBE_EARN, PROBE_POINTS / Math.max(1e-9, settings.prices().probe()));
+        probeEarn = Math.min(
+                PROBE_EARN, PROBE_POINTS / Math.max(1e-9, settings.prices().probe()));
         dear = Math.max(1, settings.prices().probe() / PROBE_PRICE);
         doubt = DOUBT + DOUBT_RISE * Math.log(dear);
         for (Role role : Role.values()) {
             roleLatency.put(role, new FadingMean(ROLE_GAIN, LATENCY_CALM, LATENCY_MEMORY));
         }
         for (int i = 0; i < classes.size(); i++) {
-            usual.add(new QuantileEstimate(CLASS_GAIN, CLASS_QUANTILE, classes.get(i).aim() / 8.0));
+            usual.add(new QuantileEstimate(
+                    CLASS_GAIN, CLASS_QUANTILE, classes.get(i).aim() / 8.0));
             firstTries.add(new FirstTryPatience(GIVE_UP_MARGIN));
             classOrder.add(i);
             mostWorth = Math.max(mostWorth, classes.get(i).worth());
@@ -544,8 +567,10 @@
      */
     private boolean spare(Pending p) {
         Server primary = p.group.primary;
-        return primary != null && (reportsLoad || !crowd() || roleLatency(Role.PRIMARY) <= LATENCY_CALM)
-                && showsFree(primary, SPARE_USE) && full(p)
+        return primary != null
+                && (reportsLoad || !crowd() || roleLatency(Role.PRIMARY) <= LATENCY_CALM)
+                && showsFree(primary, SPARE_USE)
+                && full(p)
                 && p.group.out.values().stream().noneMatch(o -> o.at == primary && needsPrimary(o));
     }
 
@@ -650,7 +675,10 @@
      * own limits can't keep its log's thread from starving. It may hurt where lag has another cause.
      */
     private boolean crowded(Server s, Pending p) {
-        return crowd() && now - s.reportAt <= FRESH && s.use > FULL_USE && s.role == Role.REPLICA
+        return crowd()
+                && now - s.reportAt <= FRESH
+                && s.use > FULL_USE
+                && s.role == Role.REPLICA
                 && s.positionAt - s.position > CROWDED_LAG * p.kind.worth() / mostWorth;
     }
 
@@ -728,9 +756,14 @@
                 return;
             }
         }
-        Server pick = draw(p, s -> askable(s) && (reportsLoad || !evident(s) || !freshEnough(s, p))
-                && (now - s.probedAt > ASK_FAR * dear || !silent(s, ASK_WAIT)
-                && (freshEnough(s, p) || owed(p) - s.position < ASK_REACH + now - s.positionAt)));
+        Server pick = draw(
+                p,
+                s -> askable(s)
+                        && (reportsLoad || !evident(s) || !freshEnough(s, p))
+                        && (now - s.probedAt > ASK_FAR * dear
+                                || !silent(s, ASK_WAIT)
+                                        && (freshEnough(s, p)
+                                                || owed(p) - s.position < ASK_REACH + now - s.positionAt)));
         if (pick != null) {
             probe(pick);
         } else if (primary != null && now - primary.reportAt > FRESH && askable(primary) && full(p)) {
@@ -794,7 +827,8 @@
         p.at = s;
         p.sentAt = now;
         p.checkAt = p.kind.repeat() == Repeat.SAFE && settings.limits().probes()
-                ? now + (long) (doubt * usual(p) * expected(s)) : Long.MAX_VALUE;
+                ? now + (long) (doubt * usual(p) * expected(s))
+                : Long.MAX_VALUE;
         p.group.out.put(p.request.id(), p);
         s.inFlight++;
         s.sentAt = now;
@@ -807,18 +841,22 @@
     }
 
     private boolean mayRefuse(Pending p) {
-        return p.kind.repeat() == Repeat.SAFE || p.ranAt == null
+        return p.kind.repeat() == Repeat.SAFE
+                || p.ranAt == null
                 || p.kind.repeat() == Repeat.KEYED && p.kind.scope() == Scope.ALL;
     }
 
     private boolean repeatAllowedAt(Pending p, Server s) {
-        return p.ranAt == null || p.kind.repeat() == Repeat.SAFE || p.kind.repeat() == Repeat.KEYED
-                && now - p.ranSince < p.kind.keyTtl()
-                && (p.kind.scope() != Scope.ZONE || s.zone == p.ranAt.zone);
+        return p.ranAt == null
+                || p.kind.repeat() == Repeat.SAFE
+                || p.kind.repeat() == Repeat.KEYED
+                        && now - p.ranSince < p.kind.keyTtl()
+                        && (p.kind.scope() != Scope.ZONE || s.zone == p.ranAt.zone);
     }
 
     private boolean mayResend(Pending p) {
-        return p.attempts < settings.limits().maxAttempts() && now < p.request.expires() - GIVE_UP_MARGIN
+        return p.attempts < settings.limits().maxAttempts()
+                && now < p.request.expires() - GIVE_UP_MARGIN
                 && repeatAllowedAt(p, p.ranAt);
     }
 
@@ -882,8 +920,8 @@
      * for primaries: what is written to one that has stopped can't be withdrawn, and waits for its successor.
      */
     private long belief() {
-        return Math.max(FRESH, (long) Math.min(RATE_SPAN, BELIEF_GAPS * servers.size() * RATE_SPAN
-                / Math.max(1, recentSends())));
+        return Math.max(FRESH, (long)
+                Math.min(RATE_SPAN, BELIEF_GAPS * servers.size() * RATE_SPAN / Math.max(1, recentSends())));
     }
 
     /**
@@ -893,14 +931,19 @@
      */
     private boolean evident(Server s) {
         long span = s == s.group.primary ? (long) Math.min(RATE_SPAN, FRESH * dear) : belief;
-        return !settings.limits().probes() || !silent(s, ASK_WAIT)
-                && (now - s.heardAt <= span || s.heardAt == RouterState.NEVER || probeCredit < 1);
+        return !settings.limits().probes()
+                || !silent(s, ASK_WAIT)
+                        && (now - s.heardAt <= span || s.heardAt == RouterState.NEVER || probeCredit < 1);
     }
 
     private boolean usable(Server s, Pending p) {
         boolean trial = s.outUntil <= now && s.inFlight == 0;
-        return listed(s) && (s.outUntil == NONE || trial) && evident(s) && repeatAllowedAt(p, s)
-                && hasRoom(s, p) && inTime(s, p);
+        return listed(s)
+                && (s.outUntil == NONE || trial)
+                && evident(s)
+                && repeatAllowedAt(p, s)
+                && hasRoom(s, p)
+                && inTime(s, p);
     }
 
     /**
@@ -909,7 +952,8 @@
      */
     private boolean hasRoom(Server s, Pending p) {
         double warmth = warmth(s);
-        return s.inFlight < Math.max(1, s.limit * warmth * warmth) && (warmth >= 1 || coldBudgetLeft(s))
+        return s.inFlight < Math.max(1, s.limit * warmth * warmth)
+                && (warmth >= 1 || coldBudgetLeft(s))
                 && (s.limit >= 1 || now - s.sentAt >= usual(p) * latency(s) / s.limit);
     }
 
@@ -992,7 +1036,11 @@
      * all gateways doing so keep the sum under the multiple.
      */
     private boolean coldBudgetLeft(Server s) {
-        long warm = Math.max(1, servers.values().stream().filter(m -> listed(m) && warmth(m) >= 1).count());
+        long warm = Math.max(
+                1,
+                servers.values().stream()
+                        .filter(m -> listed(m) && warmth(m) >= 1)
+                        .count());
         double capacity = recentSends() * SECOND / RATE_SPAN / warm / Math.max(USE_LEAST, fleetUse);
         double allowed = COLD_SHARE * settings.rules().fallMultiple() * warmth(s) * capacity;
         double rate = Math.max(LIMIT_MIN / settings.instances(), allowed);
--- a/src/main/java/crankwick/RouterApi.java
+++ b/src/main/java/crankwick/RouterApi.java
@@ -12,36 +12,80 @@
     long NONE = -1;
 
     /** How far a request may be repeated once it may have run. */
-    enum Repeat { SAFE, KEYED, UNSAFE }
+    enum Repeat {
+        SAFE,
+        KEYED,
+        UNSAFE
+    }
 
     /** Which servers discard the repeats of a keyed request. */
-    enum Scope { ALL, ZONE, GROUP }
+    enum Scope {
+        ALL,
+        ZONE,
+        GROUP
+    }
 
     /** What a request needs of the data it meets. */
-    enum Need { WRITE, FRESH, SESSION, BOUNDED, ANY }
+    enum Need {
+        WRITE,
+        FRESH,
+        SESSION,
+        BOUNDED,
+        ANY
+    }
 
     /** What a server does with a read for which it lags too far. */
-    enum WhenBehind { SERVE, REFUSE, WAIT }
+    enum WhenBehind {
+        SERVE,
+        REFUSE,
+        WAIT
+    }
 
     /** How the list of servers shows roles. */
-    enum ListRole { OFF, START, LATE }
+    enum ListRole {
+        OFF,
+        START,
+        LATE
+    }
 
     /** A server's place in its group. */
-    enum Role { UNKNOWN, PRIMARY, REPLICA }
+    enum Role {
+        UNKNOWN,
+        PRIMARY,
+        REPLICA
+    }
 
     /** A server's standing in the list. */
-    enum Standing { LIVE, DRAINING, GONE }
+    enum Standing {
+        LIVE,
+        DRAINING,
+        GONE
+    }
 
     /** What a membership event brings. */
-    enum ListKind { CHANGES, FULL, RESTORED, UNAVAILABLE }
+    enum ListKind {
+        CHANGES,
+        FULL,
+        RESTORED,
+        UNAVAILABLE
+    }
 
     /**
      * How an attempt or a probe ended. DROPPED: its connection was not refused, but broke before the last
      * byte was written. STALE: one kept from earlier work broke at once under it; it tells of that alone.
      */
     enum Result {
-        OK(false), ERROR(false), FULL(true), TIMEOUT(false), UNREACHABLE(true), DROPPED(true),
-        RESET(false), STALE(false), CANCELLED(false), NOT_SENT(true), MISS(true);
+        OK(false),
+        ERROR(false),
+        FULL(true),
+        TIMEOUT(false),
+        UNREACHABLE(true),
+        DROPPED(true),
+        RESET(false),
+        STALE(false),
+        CANCELLED(false),
+        NOT_SENT(true),
+        MISS(true);
 
         private final boolean provesNotRun;
 
@@ -56,28 +100,52 @@
     }
 
     /** A class of request; {@code aim} earns full worth, {@code lateWorth} is the share earned afterwards. */
-    record RequestClass(Need need, long bound, Repeat repeat, Scope scope, long keyTtl, long aim,
-            long deadline, double worth, double lateWorth) {
-    }
+    record RequestClass(
+            Need need,
+            long bound,
+            Repeat repeat,
+            Scope scope,
+            long keyTtl,
+            long aim,
+            long deadline,
+            double worth,
+            double lateWorth) {}
 
     /** The figures of the rules. */
-    record Rules(long answerSlack, long drainGrace, boolean onlyDrainingBinds, double startCapacity,
-            long rampTime, double fallMultiple, long tipAfter) {
-    }
+    record Rules(
+            long answerSlack,
+            long drainGrace,
+            boolean onlyDrainingBinds,
+            double startCapacity,
+            long rampTime,
+            double fallMultiple,
+            long tipAfter) {}
 
     /** What the site allows. */
-    record Limits(boolean probes, boolean cancels, boolean retryAfter, long maxRetryAfter, int maxAttempts,
-            long connectTimeout) {
-    }
+    record Limits(
+            boolean probes,
+            boolean cancels,
+            boolean retryAfter,
+            long maxRetryAfter,
+            int maxAttempts,
+            long connectTimeout) {}
 
     /** Points lost per crossing of zones, probe, and share of work wasted. */
-    record Prices(double crossZone, double probe, double waste) {
-    }
+    record Prices(double crossZone, double probe, double waste) {}
 
     /** Everything a router is told at its start. */
-    record Settings(int instances, int zone, boolean asksDiscovery, boolean answersCarryPosition,
-            boolean tokensCarried, WhenBehind whenBehind, ListRole listRole, Rules rules, Limits limits,
-            Prices prices, List<RequestClass> classes) {
+    record Settings(
+            int instances,
+            int zone,
+            boolean asksDiscovery,
+            boolean answersCarryPosition,
+            boolean tokensCarried,
+            WhenBehind whenBehind,
+            ListRole listRole,
+            Rules rules,
+            Limits limits,
+            Prices prices,
+            List<RequestClass> classes) {
         /** Checks every field; throws IllegalArgumentException naming the one at fault. */
         public Settings {
             require(instances >= 1, "instances");
@@ -122,45 +190,44 @@
     }
 
     /** What a server says of itself, as old as the report; absent figures are NONE or NaN. */
-    record Report(long position, Role role, double backlog, double utilization, double inFlight) {
-    }
+    record Report(long position, Role role, double backlog, double utilization, double inFlight) {}
 
     /** One line of the list of servers. */
-    record Member(String server, int zone, long group, Role role, Standing standing, long startedAt) {
-    }
+    record Member(String server, int zone, long group, Role role, Standing standing, long startedAt) {}
 
     /** Something the router is told. */
-    sealed interface Event {
-    }
+    sealed interface Event {}
 
     /** A client's request; {@code tokenAge} is the time since its session's last commit where carried. */
-    record Request(long id, int cls, long group, long session, long tokenAge, long expires) implements Event {
-    }
+    record Request(long id, int cls, long group, long session, long tokenAge, long expires) implements Event {}
 
     /** The end of an attempt; {@code closed} if the request has had its final answer. */
-    record Outcome(long id, int attempt, boolean closed, Result result, long duration, String server,
-            Role role, long position, Report report) implements Event {
-    }
+    record Outcome(
+            long id,
+            int attempt,
+            boolean closed,
+            Result result,
+            long duration,
+            String server,
+            Role role,
+            long position,
+            Report report)
+            implements Event {}
 
     /** The answer to a probe. */
-    record ProbeResult(String server, Result result, long duration, Report report) implements Event {
-    }
+    record ProbeResult(String server, Result result, long duration, Report report) implements Event {}
 
     /** News from the list of servers. */
-    record Membership(ListKind kind, List<Member> members) implements Event {
-    }
+    record Membership(ListKind kind, List<Member> members) implements Event {}
 
     /** A timer that was armed has fallen due. */
-    record Timer(long ref) implements Event {
-    }
+    record Timer(long ref) implements Event {}
 
     /** The client has left; no answer is owed. */
-    record Gone(long id) implements Event {
-    }
+    record Gone(long id) implements Event {}
 
     /** The answer has begun to stream: the attempt belongs to the client. */
-    record Started(long id) implements Event {
-    }
+    record Started(long id) implements Event {}
 
     /** What a router does; the caller carries it out at once and in order. */
     interface Actions {
--- a/src/main/java/crankwick/RouterState.java
+++ b/src/main/java/crankwick/RouterState.java
@@ -14,8 +14,7 @@
     /** The time of what has never happened; far from overflow in differences. */
     static final long NEVER = Long.MIN_VALUE / 2;
 
-    private RouterState() {
-    }
+    private RouterState() {}
 
     /** A member of a group, as this gateway knows it. */
     static final class Server {
@@ -30,15 +29,18 @@
         long creditAt;
         /** The highest log position told, and when it was. */
         long position = Long.MIN_VALUE;
+
         long positionAt = NEVER;
         Role role = Role.UNKNOWN;
         long roleAsOf = Long.MIN_VALUE;
         /** The last report: requests waiting, share of busy cores. */
         double queue;
+
         double use;
         long reportAt = NEVER;
         /** In usual durations of a class. */
         double latency;
+
         long latencyAt = NEVER;
         double limit;
         int inFlight;
@@ -53,6 +55,7 @@
         boolean down;
         /** Smoothed share of attempts that fail; left out from and until; strikes that fade. */
         double failures;
+
         long outSince;
         long outUntil = RouterApi.NONE;
         final DecayingCount strikes;
@@ -73,6 +76,7 @@
         final long token;
         /** When its client first asked. */
         final long askedAt;
+
         final List<Server> tried = new ArrayList<>(2);
         int attempts;
         Server at;
@@ -81,6 +85,7 @@
         boolean closed;
         /** Where an attempt may have run, and when that was sent. */
         Server ranAt;
+
         long ranSince;
 
         Pending(Request request, RequestClass kind, Group group, long token, long askedAt) {
@@ -100,9 +105,11 @@
         final List<ArrayDeque<Pending>> waiting = new ArrayList<>();
         /** Last commits by session. */
         final SessionPositions tokens = new SessionPositions();
+
         final LinkedHashMap<Long, Pending> out = new LinkedHashMap<>();
         /** The earliest look that is armed. */
         long dueAt = Long.MAX_VALUE;
+
         Server primary;
         /** The write that seeks the primary. */
         Pending scout;
--- a/src/main/java/crankwick/app/Commands.java
+++ b/src/main/java/crankwick/app/Commands.java
@@ -25,10 +25,12 @@
 import picocli.CommandLine.Spec;
 
 /** The command line. {@link Main} starts {@code serve} and {@code simhost} without it where it can. */
-@Command(name = "crankwick", description = "A broker between services and groups of replicated databases.",
-        mixinStandardHelpOptions = true, versionProvider = Commands.Version.class,
-        subcommands = {Commands.Serve.class, Commands.Simhost.class, Commands.Lab.class,
-            Commands.Emulate.class})
+@Command(
+        name = "crankwick",
+        description = "A broker between services and groups of replicated databases.",
+        mixinStandardHelpOptions = true,
+        versionProvider = Commands.Version.class,
+        subcommands = {Commands.Serve.class, Commands.Simhost.class, Commands.Lab.class, Commands.Emulate.class})
 final class Commands implements Runnable {
     @Spec
     private CommandSpec spec;
@@ -47,8 +49,9 @@
 
     @Override
     public void run() {
-        throw new ParameterException(spec.commandLine(), "a command is wanted: "
-                + String.join(", ", spec.subcommands().keySet()));
+        throw new ParameterException(
+                spec.commandLine(),
+                "a command is wanted: " + String.join(", ", spec.subcommands().keySet()));
     }
 
     /** The version in the jar's manifest. */
@@ -61,9 +64,12 @@
     }
 
     /** One real proxy. */
-    @Command(name = "serve", description = "Serves as one proxy: the platform's front where ROUTER_CONFIG "
-            + "names a configuration, the TDS front where an operator's file is given.",
-            mixinStandardHelpOptions = true, versionProvider = Version.class)
+    @Command(
+            name = "serve",
+            description = "Serves as one proxy: the platform's front where ROUTER_CONFIG "
+                    + "names a configuration, the TDS front where an operator's file is given.",
+            mixinStandardHelpOptions = true,
+            versionProvider = Version.class)
     static final class Serve implements Callable<Integer> {
         @Parameters(arity = "0..1", paramLabel = "OPERATOR.toml", description = "The operator's file.")
         private Path operator;
@@ -76,8 +82,11 @@
     }
 
     /** The simulator's wire. */
-    @Command(name = "simhost", description = "Hosts routers on the simulator's wire, standard input to "
-            + "standard output.", mixinStandardHelpOptions = true, versionProvider = Version.class)
+    @Command(
+            name = "simhost",
+            description = "Hosts routers on the simulator's wire, standard input to " + "standard output.",
+            mixinStandardHelpOptions = true,
+            versionProvider = Version.class)
     static final class Simhost implements Callable<Integer> {
         @Override
         public Integer call() throws IOException {
@@ -87,32 +96,53 @@
     }
 
     /** Modelled databases on sockets. */
-    @Command(name = "emulate", description = "Modelled groups of three databases on loopback ports, and "
-            + "discovery that lists them. Ends by itself; exit code 1 if a key was applied twice, a request "
-            + "sent twice at once, or a database pushed over.", mixinStandardHelpOptions = true,
+    @Command(
+            name = "emulate",
+            description = "Modelled groups of three databases on loopback ports, and "
+                    + "discovery that lists them. Ends by itself; exit code 1 if a key was applied twice, a request "
+                    + "sent twice at once, or a database pushed over.",
+            mixinStandardHelpOptions = true,
             versionProvider = Version.class)
     static final class Emulate implements Callable<Integer> {
         @Option(names = "--wire", defaultValue = "pg", description = "pg or tds; default ${DEFAULT-VALUE}.")
         private String wire;
+
         @Option(names = "--groups", defaultValue = "4", description = "1 to 50; default ${DEFAULT-VALUE}.")
         private int groups;
-        @Option(names = "--changes", defaultValue = "0", description = "Changes of primaries, 0 to 10000; "
-                + "default ${DEFAULT-VALUE}.")
+
+        @Option(
+                names = "--changes",
+                defaultValue = "0",
+                description = "Changes of primaries, 0 to 10000; " + "default ${DEFAULT-VALUE}.")
         private int changes;
-        @Option(names = "--every-ms", defaultValue = "3000", description = "From one to the next, 100 to "
-                + "3600000; default ${DEFAULT-VALUE}.")
+
+        @Option(
+                names = "--every-ms",
+                defaultValue = "3000",
+                description = "From one to the next, 100 to " + "3600000; default ${DEFAULT-VALUE}.")
         private long every;
-        @Option(names = "--seconds", defaultValue = "60", description = "How long it runs, 1 to 86400; "
-                + "default ${DEFAULT-VALUE}.")
+
+        @Option(
+                names = "--seconds",
+                defaultValue = "60",
+                description = "How long it runs, 1 to 86400; " + "default ${DEFAULT-VALUE}.")
         private long seconds;
-        @Option(names = "--seed", defaultValue = "1", description = "Of troubles and delays; default "
-                + "${DEFAULT-VALUE}.")
+
+        @Option(
+                names = "--seed",
+                defaultValue = "1",
+                description = "Of troubles and delays; default " + "${DEFAULT-VALUE}.")
         private long seed;
-        @Option(names = "--zone", defaultValue = "ulemiste", description = "The zone that all are listed in; "
-                + "default ${DEFAULT-VALUE}.")
+
+        @Option(
+                names = "--zone",
+                defaultValue = "ulemiste",
+                description = "The zone that all are listed in; " + "default ${DEFAULT-VALUE}.")
         private String zone;
+
         @Option(names = "--zone-file", description = "Also writes DNS-SD records here, for the TDS front.")
         private Path zoneFile;
+
         @Spec
         private CommandSpec spec;
 
@@ -145,7 +175,10 @@
     }
 
     /** Experiments in simulated time. */
-    @Command(name = "lab", description = "Experiments in simulated time.", mixinStandardHelpOptions = true,
+    @Command(
+            name = "lab",
+            description = "Experiments in simulated time.",
+            mixinStandardHelpOptions = true,
             versionProvider = Version.class,
             subcommands = {Commands.LabHandover.class, Commands.LabDrains.class})
     static final class Lab implements Runnable {
@@ -154,30 +187,47 @@
 
         @Override
         public void run() {
-            throw new ParameterException(spec.commandLine(), "an experiment is wanted: "
-                    + String.join(", ", spec.subcommands().keySet()));
+            throw new ParameterException(
+                    spec.commandLine(),
+                    "an experiment is wanted: "
+                            + String.join(", ", spec.subcommands().keySet()));
         }
     }
 
     /** A fleet's watches before discovery. */
-    @Command(name = "drains", description = "Plays a fleet's watches before one discovery that falls silent, "
-            + "resets and goes down, and checks that every drain is heard in time. Exit code 1 if not.",
-            mixinStandardHelpOptions = true, versionProvider = Version.class)
+    @Command(
+            name = "drains",
+            description = "Plays a fleet's watches before one discovery that falls silent, "
+                    + "resets and goes down, and checks that every drain is heard in time. Exit code 1 if not.",
+            mixinStandardHelpOptions = true,
+            versionProvider = Version.class)
     static final class LabDrains implements Callable<Integer> {
-        @Option(names = "--proxies", defaultValue = "100", description = "1 to 1024; default "
-                + "${DEFAULT-VALUE}.")
+        @Option(names = "--proxies", defaultValue = "100", description = "1 to 1024; default " + "${DEFAULT-VALUE}.")
         private int proxies;
-        @Option(names = "--rounds", defaultValue = "100", description = "Troubles with a drain each, 1 to "
-                + "10000; default ${DEFAULT-VALUE}.")
+
+        @Option(
+                names = "--rounds",
+                defaultValue = "100",
+                description = "Troubles with a drain each, 1 to " + "10000; default ${DEFAULT-VALUE}.")
         private int rounds;
+
         @Option(names = "--seed", defaultValue = "1", description = "Default ${DEFAULT-VALUE}.")
         private long seed;
-        @Option(names = "--turn-ms", defaultValue = "1900", description = "How long discovery takes to "
-                + "answer all proxies once, 0 to 60000; default ${DEFAULT-VALUE}.")
+
+        @Option(
+                names = "--turn-ms",
+                defaultValue = "1900",
+                description = "How long discovery takes to "
+                        + "answer all proxies once, 0 to 60000; default ${DEFAULT-VALUE}.")
         private long turn;
-        @Option(names = "--late-ms", defaultValue = "0", description = "How late each timer is, 0 to 60000: "
-                + "shows that the check finds what it is for; default ${DEFAULT-VALUE}.")
+
+        @Option(
+                names = "--late-ms",
+                defaultValue = "0",
+                description = "How late each timer is, 0 to 60000: "
+                        + "shows that the check finds what it is for; default ${DEFAULT-VALUE}.")
         private long late;
+
         @Spec
         private CommandSpec spec;
 
@@ -187,8 +237,7 @@
             require(spec, rounds >= 1 && rounds <= 10_000, "--rounds takes 1 to 10000");
             require(spec, turn >= 0 && turn <= 60_000, "--turn-ms takes 0 to 60000");
             require(spec, late >= 0 && late <= 60_000, "--late-ms takes 0 to 60000");
-            DrainLab lab = new DrainLab(
-                    new DrainLab.Options(proxies, rounds, seed, turn * 1_000, late * 1_000));
+            DrainLab lab = new DrainLab(new DrainLab.Options(proxies, rounds, seed, turn * 1_000, late * 1_000));
             PrintWriter out = spec.commandLine().getOut();
             out.println(new Gson().toJson(lab.run()));
             if (lab.violation() != null) {
@@ -199,30 +248,52 @@
     }
 
     /** Changes of primaries, explored by seed. */
-    @Command(name = "handover", description = "Runs changes of primaries of all kinds under load, and checks "
-            + "each step. Exit code 1 on any violation, with its trace.", mixinStandardHelpOptions = true,
+    @Command(
+            name = "handover",
+            description = "Runs changes of primaries of all kinds under load, and checks "
+                    + "each step. Exit code 1 on any violation, with its trace.",
+            mixinStandardHelpOptions = true,
             versionProvider = Version.class)
     static final class LabHandover implements Callable<Integer> {
-        @Option(names = "--groups", defaultValue = "4", description = "Groups of three databases, 1 to 1000; "
-                + "default ${DEFAULT-VALUE}.")
+        @Option(
+                names = "--groups",
+                defaultValue = "4",
+                description = "Groups of three databases, 1 to 1000; " + "default ${DEFAULT-VALUE}.")
         private int groups;
-        @Option(names = "--failovers", defaultValue = "500", description = "Changes of leader, 1 to 1000000; "
-                + "default ${DEFAULT-VALUE}.")
+
+        @Option(
+                names = "--failovers",
+                defaultValue = "500",
+                description = "Changes of leader, 1 to 1000000; " + "default ${DEFAULT-VALUE}.")
         private int failovers;
-        @Option(names = "--seed", defaultValue = "1", description = "The same seed gives the same run; "
-                + "default ${DEFAULT-VALUE}.")
+
+        @Option(
+                names = "--seed",
+                defaultValue = "1",
+                description = "The same seed gives the same run; " + "default ${DEFAULT-VALUE}.")
         private long seed;
+
         @Option(names = "--json", description = "One JSON object as the last line.")
         private boolean json;
+
         @Option(names = "--without", description = "Leave changes to the router, as earlier versions.")
         private boolean without;
-        @Option(names = "--hope", defaultValue = "0.05", description = "The least chance of being served "
-                + "that lets a request wait, 0 to 1; default ${DEFAULT-VALUE}.")
+
+        @Option(
+                names = "--hope",
+                defaultValue = "0.05",
+                description = "The least chance of being served "
+                        + "that lets a request wait, 0 to 1; default ${DEFAULT-VALUE}.")
         private double hope;
-        @Option(names = "--fault", defaultValue = "none", description = "A deliberate defect, which must be "
-                + "found: resend-after-window, late-list-believed, held-sent-twice, release-without-pace; "
-                + "default ${DEFAULT-VALUE}.")
+
+        @Option(
+                names = "--fault",
+                defaultValue = "none",
+                description = "A deliberate defect, which must be "
+                        + "found: resend-after-window, late-list-believed, held-sent-twice, release-without-pace; "
+                        + "default ${DEFAULT-VALUE}.")
         private String fault;
+
         @Spec
         private CommandSpec spec;
 
@@ -231,8 +302,8 @@
             require(spec, groups >= 1 && groups <= 1_000, "--groups takes 1 to 1000");
             require(spec, failovers >= 1 && failovers <= 1_000_000, "--failovers takes 1 to 1000000");
             require(spec, hope >= 0 && hope <= 1, "--hope takes 0 to 1");
-            HandoverLab lab = new HandoverLab(new HandoverLab.Options(groups, failovers, seed,
-                    without ? null : HandoverSettings.DEFAULT.withHopeLeast(hope), fault()));
+            HandoverLab lab = new HandoverLab(new HandoverLab.Options(
+                    groups, failovers, seed, without ? null : HandoverSettings.DEFAULT.withHopeLeast(hope), fault()));
             Map<String, Object> figures = lab.run();
             PrintWriter out = spec.commandLine().getOut();
             if (lab.violation() != null) {
--- a/src/main/java/crankwick/app/Main.java
+++ b/src/main/java/crankwick/app/Main.java
@@ -24,14 +24,14 @@
  * start without the command line's library; {@link Commands} has the rest.
  */
 public final class Main {
-    private Main() {
-    }
+    private Main() {}
 
     /** Exits 2 with one line where the command or a configuration can't be used. */
     public static void main(String[] args) throws IOException, InterruptedException {
         if (args.length == 1 && args[0].equals("simhost")) {
             Simhost.run();
-        } else if (args.length >= 1 && args[0].equals("serve")
+        } else if (args.length >= 1
+                && args[0].equals("serve")
                 && (args.length == 1 || args.length == 2 && !args[1].startsWith("-"))) {
             serve(args.length == 2 ? Path.of(args[1]) : null);
         } else {
@@ -53,8 +53,7 @@
             OperatorFile file = operator == null ? null : OperatorFile.read(operator);
             Transport transport = new Transport();
             if (config != null) {
-                services.add(platform(Path.of(platform), config, transport,
-                        file == null ? null : file.changes()));
+                services.add(platform(Path.of(platform), config, transport, file == null ? null : file.changes()));
             }
             if (file != null) {
                 services.add(tds(operator, file, transport));
@@ -73,27 +72,54 @@
     }
 
     /** An operator's file holds for the platform's front too in what it says of changes of primaries. */
-    private static Service platform(Path file, PlatformConfig config, Transport transport,
-            HandoverSettings changes) throws IOException {
+    private static Service platform(Path file, PlatformConfig config, Transport transport, HandoverSettings changes)
+            throws IOException {
         var wire = new Service.Wire("pg", new PgFrontCodec(), new PgDatabaseCodec());
-        Service service = new Service(wire, config.settings(), config.seed(),
-                Map.of("", Contract.UNLIMITED), config.sockets(), transport, changes);
+        Service service = new Service(
+                wire,
+                config.settings(),
+                config.seed(),
+                Map.of("", Contract.UNLIMITED),
+                config.sockets(),
+                transport,
+                changes);
         ListCodec lists = new ListCodec(config.settings().zoneNames());
-        service.start(config.listen(), config.sockets(), config.known(), (loop, clock) -> new HttpWatch(
-                transport, loop, clock, config.discovery(), () -> PlatformConfig.read(file).discovery(),
-                lists, config.known(), config.version(), config.seed(), service::onListed));
+        service.start(
+                config.listen(),
+                config.sockets(),
+                config.known(),
+                (loop, clock) -> new HttpWatch(
+                        transport,
+                        loop,
+                        clock,
+                        config.discovery(),
+                        () -> PlatformConfig.read(file).discovery(),
+                        lists,
+                        config.known(),
+                        config.version(),
+                        config.seed(),
+                        service::onListed));
         return service;
     }
 
     private static Service tds(Path path, OperatorFile file, Transport transport) throws IOException {
         var wire = new Service.Wire("tds", new TdsFrontCodec(), new TdsDatabaseCodec());
         List<String> zones = file.settings().zoneNames();
-        Service service = new Service(wire, file.settings(), System.nanoTime(), file.contracts(),
-                file.sockets(), transport, file.changes());
+        Service service = new Service(
+                wire, file.settings(), System.nanoTime(), file.contracts(), file.sockets(), transport, file.changes());
         Discovery.News known = Listing.known(DnsSdFile.parse(file.zone(), zones));
-        service.start(file.listen(), file.sockets(), known, (loop, clock) -> new DnsSdFile(file.zone(),
-                () -> OperatorFile.read(path).zone(), zones, known, file.rereadEvery(), loop,
-                service::onListed));
+        service.start(
+                file.listen(),
+                file.sockets(),
+                known,
+                (loop, clock) -> new DnsSdFile(
+                        file.zone(),
+                        () -> OperatorFile.read(path).zone(),
+                        zones,
+                        known,
+                        file.rereadEvery(),
+                        loop,
+                        service::onListed));
         return service;
     }
 
--- a/src/main/java/crankwick/app/OperatorFile.java
+++ b/src/main/java/crankwick/app/OperatorFile.java
@@ -26,17 +26,31 @@
 import org.xbill.DNS.TextParseException;
 
 /** The operator's file of the TDS front; see deploy/tds.toml for its keys. */
-record OperatorFile(InetSocketAddress listen, int sockets, DnsSdFile.Zone zone, long rereadEvery,
-        Map<String, Contract> contracts, HandoverSettings changes, SettingsCodec settings) {
-    private static final Set<String> KEYS = Set.of("listen", "sockets", "discovery", "teams",
-            "handover", "settings");
+record OperatorFile(
+        InetSocketAddress listen,
+        int sockets,
+        DnsSdFile.Zone zone,
+        long rereadEvery,
+        Map<String, Contract> contracts,
+        HandoverSettings changes,
+        SettingsCodec settings) {
+    private static final Set<String> KEYS = Set.of("listen", "sockets", "discovery", "teams", "handover", "settings");
     private static final Set<String> DISCOVERY_KEYS = Set.of("records", "service", "reread_ms");
-    private static final Set<String> TEAM_KEYS =
-            Set.of("classes", "rate_per_second", "outstanding", "deadline_cap_ms");
-
-    private static final Set<String> HANDOVER_KEYS = Set.of("held_per_group", "held_per_team",
-            "held_bytes_per_group", "held_bytes_per_team", "hope_least", "start_window", "key_margin_ms",
-            "keys", "key_memory_ms", "unplanned_least_ms", "unplanned_most_ms", "planned_least_ms",
+    private static final Set<String> TEAM_KEYS = Set.of("classes", "rate_per_second", "outstanding", "deadline_cap_ms");
+
+    private static final Set<String> HANDOVER_KEYS = Set.of(
+            "held_per_group",
+            "held_per_team",
+            "held_bytes_per_group",
+            "held_bytes_per_team",
+            "hope_least",
+            "start_window",
+            "key_margin_ms",
+            "keys",
+            "key_memory_ms",
+            "unplanned_least_ms",
+            "unplanned_most_ms",
+            "planned_least_ms",
             "planned_most_ms");
 
     /** Reads the file; throws IllegalArgumentException naming the key at fault. */
@@ -70,8 +84,8 @@
         String listen = text(root, "listen", "listen");
         InetSocketAddress address = converted("listen", listen, ListCodec::address);
         Path records = file.toAbsolutePath().resolveSibling(text(discovery, "records", "discovery.records"));
-        Name service = converted("discovery.service", text(discovery, "service", "discovery.service"),
-                OperatorFile::name);
+        Name service =
+                converted("discovery.service", text(discovery, "service", "discovery.service"), OperatorFile::name);
         DnsSdFile.Zone zone = new DnsSdFile.Zone(records, service);
         converted("discovery.records", zone, z -> databases(z, settings.zoneNames()));
         Map<String, Contract> contracts = new HashMap<>();
@@ -79,9 +93,14 @@
         for (String team : teams.keySet()) {
             contracts.put(team, contract(table(teams, team), "teams." + team + ".", settings.classNames()));
         }
-        return new OperatorFile(address, (int) number(root, "sockets", "sockets", 1), zone,
-                number(discovery, "reread_ms", "discovery.reread_ms", 1) * 1_000, contracts,
-                changes(root), settings);
+        return new OperatorFile(
+                address,
+                (int) number(root, "sockets", "sockets", 1),
+                zone,
+                number(discovery, "reread_ms", "discovery.reread_ms", 1) * 1_000,
+                contracts,
+                changes(root),
+                settings);
     }
 
     /** Null without the table: changes of primaries are then left to the router alone. */
@@ -93,13 +112,15 @@
         String at = "handover.";
         known(in, at, HANDOVER_KEYS);
         HandoverSettings d = HandoverSettings.DEFAULT;
-        return new HandoverSettings((int) whole(in, at, "held_per_group", d.heldPerGroup()),
+        return new HandoverSettings(
+                (int) whole(in, at, "held_per_group", d.heldPerGroup()),
                 (int) whole(in, at, "held_per_team", d.heldPerTeam()),
                 whole(in, at, "held_bytes_per_group", d.bytesPerGroup()),
                 whole(in, at, "held_bytes_per_team", d.bytesPerTeam()),
                 share(in, at, "hope_least", d.hopeLeast()),
                 (int) whole(in, at, "start_window", d.startWindow()),
-                millis(in, at, "key_margin_ms", d.keyMargin()), (int) whole(in, at, "keys", d.keys()),
+                millis(in, at, "key_margin_ms", d.keyMargin()),
+                (int) whole(in, at, "keys", d.keys()),
                 millis(in, at, "key_memory_ms", d.keyMemory()),
                 millis(in, at, "unplanned_least_ms", d.unplannedLeast()),
                 millis(in, at, "unplanned_most_ms", d.unplannedMost()),
@@ -136,7 +157,9 @@
             }
             classes.add(cls);
         }
-        return new Contract(classes, number(team, "rate_per_second", at + "rate_per_second", 0),
+        return new Contract(
+                classes,
+                number(team, "rate_per_second", at + "rate_per_second", 0),
                 (int) number(team, "outstanding", at + "outstanding", 0),
                 number(team, "deadline_cap_ms", at + "deadline_cap_ms", 0) * 1_000);
     }
--- a/src/main/java/crankwick/app/PlatformConfig.java
+++ b/src/main/java/crankwick/app/PlatformConfig.java
@@ -16,8 +16,15 @@
  *
  * @param version that of the list {@code known}, which may be old
  */
-record PlatformConfig(String name, InetSocketAddress listen, InetSocketAddress discovery, long seed,
-        int sockets, SettingsCodec settings, long version, Discovery.News known) {
+record PlatformConfig(
+        String name,
+        InetSocketAddress listen,
+        InetSocketAddress discovery,
+        long seed,
+        int sockets,
+        SettingsCodec settings,
+        long version,
+        Discovery.News known) {
 
     /** Reads the file; throws IllegalArgumentException naming the key at fault. */
     static PlatformConfig read(Path file) throws IOException {
@@ -38,8 +45,8 @@
             long seed = Long.parseUnsignedLong(root.get(key).getAsString(), 16);
             key = "limits.sockets";
             int sockets = root.getAsJsonObject("limits").get("sockets").getAsInt();
-            return new PlatformConfig(root.get("name").getAsString(), listen, discovery, seed, sockets,
-                    settings, list.version(), known);
+            return new PlatformConfig(
+                    root.get("name").getAsString(), listen, discovery, seed, sockets, settings, list.version(), known);
         } catch (IllegalArgumentException e) {
             throw new IllegalArgumentException(file.getFileName() + ": " + key + ": " + e.getMessage(), e);
         } catch (RuntimeException e) {
--- a/src/main/java/crankwick/app/Rehearsal.java
+++ b/src/main/java/crankwick/app/Rehearsal.java
@@ -47,8 +47,7 @@
 
     void run() {
         List<Member> members = IntStream.range(0, MEMBERS)
-                .mapToObj(i -> new Member("m" + i, 0, 0, i == 0 ? Role.PRIMARY : Role.UNKNOWN,
-                        Standing.LIVE, 0))
+                .mapToObj(i -> new Member("m" + i, 0, 0, i == 0 ? Role.PRIMARY : Role.UNKNOWN, Standing.LIVE, 0))
                 .toList();
         tell(new BrokerEvent.Listed(ListKind.FULL, members));
         for (int i = 1; i <= REQUESTS; i++) {
@@ -58,9 +57,17 @@
                     + ",d=480,cluster=0,k=5c0f6e1a2b3d4c59,after=" + (now / 1_000 - 900)
                     + " */ SELECT val FROM state WHERE uid = '7f3a9c21e0b4d655'");
             database.encode(new DatabaseCommand.Run(statement.withWait(400)));
-            tell(new BrokerEvent.Taken(new Call(i, Integer.toString(i), "", cls, statement.cluster(),
-                    statement.sessionNumber(), statement.after() * 1_000, statement.waitMs() * 1_000,
-                    statement.key(), 0)));
+            tell(new BrokerEvent.Taken(new Call(
+                    i,
+                    Integer.toString(i),
+                    "",
+                    cls,
+                    statement.cluster(),
+                    statement.sessionNumber(),
+                    statement.after() * 1_000,
+                    statement.waitMs() * 1_000,
+                    statement.key(),
+                    0)));
             for (int events = due.size(); events > 0; events--) {
                 tell(due.poll());
             }
@@ -86,8 +93,8 @@
     private BrokerEvent ended(Effect.Send send) {
         Result result = send.ref() % 50 == 0 ? Result.RESET : send.ref() % 20 == 0 ? Result.MISS : Result.OK;
         Report report = report(send.server());
-        return new BrokerEvent.Ended(send.ref(), send.attempt(), result, STEP, report.role(),
-                report.position(), report, new byte[8]);
+        return new BrokerEvent.Ended(
+                send.ref(), send.attempt(), result, STEP, report.role(), report.position(), report, new byte[8]);
     }
 
     private Report report(String server) {
--- a/src/main/java/crankwick/app/Service.java
+++ b/src/main/java/crankwick/app/Service.java
@@ -2,8 +2,8 @@
 
 import crankwick.broker.Broker;
 import crankwick.broker.Contract;
-import crankwick.handover.HandoverSettings;
 import crankwick.discovery.Discovery;
+import crankwick.handover.HandoverSettings;
 import crankwick.net.ClientFront;
 import crankwick.net.Clock;
 import crankwick.net.CodecFilter;
@@ -26,17 +26,18 @@
     private static final Logger LOG = LoggerFactory.getLogger(Service.class);
     /** After SIGTERM new connections arrive for up to 0.4 s; until then everything goes on. */
     private static final long LINGER = 450_000;
+
     private static final long CLOSE_CHECK = 10_000;
     private static final long CLOSE_SLACK = 600_000;
     /** The last answers are made so long before the end: a loop that is late on part of a core included. */
     private static final long LAST_WORDS = 150_000;
     /** Shares of the descriptors; the rest is for discovery, files and the transport. */
     private static final double CLIENT_SHARE = 0.42;
+
     private static final double DATABASE_SHARE = 0.36;
 
     /** What one wire needs. */
-    record Wire(String name, CodecFilter front, CodecFilter database) {
-    }
+    record Wire(String name, CodecFilter front, CodecFilter database) {}
 
     private final Wire wire;
     private final SettingsCodec settings;
@@ -50,23 +51,38 @@
     private final CountDownLatch closed = new CountDownLatch(1);
 
     /** {@code changes} of primaries are left to the router alone where null. */
-    Service(Wire wire, SettingsCodec settings, long seed, Map<String, Contract> contracts, int sockets,
-            Transport transport, HandoverSettings changes) {
+    Service(
+            Wire wire,
+            SettingsCodec settings,
+            long seed,
+            Map<String, Contract> contracts,
+            int sockets,
+            Transport transport,
+            HandoverSettings changes) {
         this.wire = wire;
         this.settings = settings;
         this.transport = transport;
         loop = new EventLoop("loop-" + wire.name());
         broker = new Broker(settings.settings, seed, contracts, changes);
         runner = new EffectRunner(broker, loop, clock);
-        front = new ClientFront(runner, settings.settings.classes(), settings.classNames(),
-                contracts::containsKey, (int) (sockets * CLIENT_SHARE));
+        front = new ClientFront(
+                runner, settings.settings.classes(), settings.classNames(), contracts::containsKey, (int)
+                        (sockets * CLIENT_SHARE));
     }
 
     /** Listens, and is ready once a list that names a database is known. */
-    void start(InetSocketAddress listen, int sockets, Discovery.News known,
-            BiFunction<EventLoop, Clock, Discovery> discoveryOn) throws IOException {
-        DatabasePool pool = new DatabasePool(runner, transport, wire.database(),
-                settings.settings.limits().connectTimeout(), settings.connIdle(),
+    void start(
+            InetSocketAddress listen,
+            int sockets,
+            Discovery.News known,
+            BiFunction<EventLoop, Clock, Discovery> discoveryOn)
+            throws IOException {
+        DatabasePool pool = new DatabasePool(
+                runner,
+                transport,
+                wire.database(),
+                settings.settings.limits().connectTimeout(),
+                settings.connIdle(),
                 (int) (sockets * DATABASE_SHARE));
         loop.execute(() -> {
             new Rehearsal(settings, wire.front(), wire.database()).run();
@@ -97,7 +113,10 @@
 
     /** Serves on while clients may still come, then answers what is owed, and ends. */
     void close() {
-        long longest = settings.settings.classes().stream().mapToLong(c -> c.deadline()).max().orElse(0);
+        long longest = settings.settings.classes().stream()
+                .mapToLong(c -> c.deadline())
+                .max()
+                .orElse(0);
         loop.after(LINGER, () -> {
             long latest = clock.now() + longest + CLOSE_SLACK - LINGER;
             front.close(latest - LAST_WORDS);
--- a/src/main/java/crankwick/broker/Broker.java
+++ b/src/main/java/crankwick/broker/Broker.java
@@ -1,6 +1,7 @@
 package crankwick.broker;
 
 import crankwick.Router;
+import crankwick.RouterApi;
 import crankwick.RouterApi.ListKind;
 import crankwick.RouterApi.Need;
 import crankwick.RouterApi.Repeat;
@@ -10,7 +11,6 @@
 import crankwick.RouterApi.Role;
 import crankwick.RouterApi.Settings;
 import crankwick.RouterApi.Standing;
-import crankwick.RouterApi;
 import crankwick.handover.Handover;
 import crankwick.handover.HandoverSettings;
 import java.util.ArrayDeque;
@@ -48,6 +48,7 @@
         long mayHaveRunSince = RouterApi.NONE;
         /** Past its deadline, an attempt that was not known to have begun has been recalled. */
         boolean recalled;
+
         boolean answered;
         /** Not told to the router yet. */
         boolean held;
@@ -80,11 +81,13 @@
     private final Map<Long, Life> lives = new HashMap<>();
     /** Of all lives: a second request by the same id would be a second attempt at a database. */
     private final Set<String> ids = new HashSet<>();
+
     private final ArrayDeque<RouterApi.Event> toRouter = new ArrayDeque<>();
     private final RouterApi.Actions actions = new RouterActions();
     private final Counters counters = new Counters();
     /** Null where changes of primaries are left to the router alone. */
     private final Handover handover;
+
     private final Handover.Decisions decisions = new HandoverDecisions();
     private List<Effect> effects = new ArrayList<>();
     private long now;
@@ -128,8 +131,8 @@
             }
             toRouter.add(new RouterApi.ProbeResult(e.server(), e.result(), e.duration(), report));
         } else if (event instanceof BrokerEvent.Listed e) {
-            toRouter.add(new RouterApi.Membership(e.kind(),
-                    handover == null ? e.members() : handover.listed(e.kind(), e.members(), now)));
+            toRouter.add(new RouterApi.Membership(
+                    e.kind(), handover == null ? e.members() : handover.listed(e.kind(), e.members(), now)));
             recallFrom(e);
         }
         tellRouter();
@@ -175,18 +178,25 @@
         counters.countTaken();
         Contract contract = contracts.get(call.team());
         Account account = accounts.computeIfAbsent(call.team(), team -> new Account(contract, now));
-        Reply objection = ids.contains(call.id()) ? new Reply.Failed(Reply.Reason.ID_IN_USE)
-                : objection(account, call);
+        Reply objection = ids.contains(call.id()) ? new Reply.Failed(Reply.Reason.ID_IN_USE) : objection(account, call);
         if (objection != null) {
             reply(call.ref(), objection);
             return;
         }
-        long wait = contract.deadlineCap() > 0 ? Math.min(call.patience(), contract.deadlineCap())
-                : call.patience();
+        long wait = contract.deadlineCap() > 0 ? Math.min(call.patience(), contract.deadlineCap()) : call.patience();
         Life life = new Life(call, account, now + wait);
-        Handover.Admission admission = handover == null ? Handover.Admission.PASS
-                : handover.admit(new Handover.Arrival(call.ref(), call.group(), call.team(), call.cls(),
-                        call.key(), call.bytes(), life.expires), now);
+        Handover.Admission admission = handover == null
+                ? Handover.Admission.PASS
+                : handover.admit(
+                        new Handover.Arrival(
+                                call.ref(),
+                                call.group(),
+                                call.team(),
+                                call.cls(),
+                                call.key(),
+                                call.bytes(),
+                                life.expires),
+                        now);
         if (admission == Handover.Admission.REFUSE) {
             reply(call.ref(), noPrimary(call));
             return;
@@ -205,15 +215,14 @@
     }
 
     private Reply noPrimary(Call call) {
-        return new Reply.Refused(Reply.Reason.NO_PRIMARY,
-                handover.retryAfter(call.group(), call.cls(), now));
+        return new Reply.Refused(Reply.Reason.NO_PRIMARY, handover.retryAfter(call.group(), call.cls(), now));
     }
 
     private void request(Life life) {
         Call call = life.call;
         long tokenAge = call.after() == RouterApi.NONE ? RouterApi.NONE : Math.max(1, now - call.after());
-        toRouter.add(new RouterApi.Request(call.ref(), call.cls(), call.group(), call.session(), tokenAge,
-                life.expires));
+        toRouter.add(
+                new RouterApi.Request(call.ref(), call.cls(), call.group(), call.session(), tokenAge, life.expires));
     }
 
     /** Why the contract forbids the call; null if it does not. A refusal says when there is room again. */
@@ -223,7 +232,8 @@
             return new Reply.Failed(Reply.Reason.CLASS_NOT_ALLOWED);
         }
         if (contract.outstanding() > 0 && account.outstanding >= contract.outstanding()) {
-            return new Reply.Refused(Reply.Reason.OVER_OUTSTANDING,
+            return new Reply.Refused(
+                    Reply.Reason.OVER_OUTSTANDING,
                     settings.classes().get(call.cls()).aim());
         }
         double rate = contract.ratePerSecond();
@@ -232,8 +242,8 @@
             account.tokens = Math.min(most, account.tokens + rate * (now - account.filledAt) / SECOND);
             account.filledAt = now;
             if (account.tokens < 1) {
-                return new Reply.Refused(Reply.Reason.OVER_RATE,
-                        (long) Math.ceil((1 - account.tokens) * SECOND / rate));
+                return new Reply.Refused(
+                        Reply.Reason.OVER_RATE, (long) Math.ceil((1 - account.tokens) * SECOND / rate));
             }
             account.tokens--;
         }
@@ -288,16 +298,23 @@
         Report report = believed(e.report());
         boolean write = settings.classes().get(life.call.cls()).need() == Need.WRITE;
         if (handover != null) {
-            role = handover.heard(life.server, write, life.sentAt, e.result(), role, believed(e.position()),
-                    now);
+            role = handover.heard(life.server, write, life.sentAt, e.result(), role, believed(e.position()), now);
             report = handover.believed(life.server, report, now);
             handover.ended(e.ref(), e.result(), e.duration(), now);
         }
         if (e.result() == Result.OK) {
             answer(life, new Reply.Served(e.value(), write, believed(e.position())));
         }
-        toRouter.add(new RouterApi.Outcome(e.ref(), e.attempt(), life.answered, e.result(), e.duration(),
-                life.server, role, believed(e.position()), report));
+        toRouter.add(new RouterApi.Outcome(
+                e.ref(),
+                e.attempt(),
+                life.answered,
+                e.result(),
+                e.duration(),
+                life.server,
+                role,
+                believed(e.position()),
+                report));
         forget(life);
     }
 
@@ -348,29 +365,44 @@
     private void withdraw(Life life, Result result) {
         int attempt = life.attempts - 1;
         effects.add(new Effect.Withdraw(life.call.ref(), attempt));
-        end(life, new BrokerEvent.Ended(life.call.ref(), attempt, result, now - life.sentAt, Role.UNKNOWN,
-                RouterApi.NONE, null, null));
+        end(
+                life,
+                new BrokerEvent.Ended(
+                        life.call.ref(), attempt, result, now - life.sentAt, Role.UNKNOWN, RouterApi.NONE, null, null));
     }
 
     private void send(Life life, String server) {
         int attempt = life.attempts++;
         long beginBy = beginBy(life);
-        boolean mayGo = !life.inFlight && !life.answered && now < beginBy
+        boolean mayGo = !life.inFlight
+                && !life.answered
+                && now < beginBy
                 && attempt < settings.limits().maxAttempts();
         if (!mayGo) {
             counters.count(Result.NOT_SENT);
-            toRouter.add(new RouterApi.Outcome(life.call.ref(), attempt, life.answered, Result.NOT_SENT, 0,
-                    server, Role.UNKNOWN, RouterApi.NONE, null));
+            toRouter.add(new RouterApi.Outcome(
+                    life.call.ref(),
+                    attempt,
+                    life.answered,
+                    Result.NOT_SENT,
+                    0,
+                    server,
+                    Role.UNKNOWN,
+                    RouterApi.NONE,
+                    null));
             return;
         }
-        Handover.Going going = handover == null ? Handover.Going.GO
-                : handover.send(life.call.ref(), server, now);
+        Handover.Going going = handover == null ? Handover.Going.GO : handover.send(life.call.ref(), server, now);
         if (going != Handover.Going.GO) {
-            answer(life, going == Handover.Going.WINDOW_OVER ? new Reply.Failed(Reply.Reason.KEY_IN_DOUBT)
-                    : new Reply.Refused(Reply.Reason.OVER_KEYS,
-                            settings.classes().get(life.call.cls()).aim()));
-            toRouter.add(new RouterApi.Outcome(life.call.ref(), attempt, true, Result.NOT_SENT, 0, server,
-                    Role.UNKNOWN, RouterApi.NONE, null));
+            answer(
+                    life,
+                    going == Handover.Going.WINDOW_OVER
+                            ? new Reply.Failed(Reply.Reason.KEY_IN_DOUBT)
+                            : new Reply.Refused(
+                                    Reply.Reason.OVER_KEYS,
+                                    settings.classes().get(life.call.cls()).aim()));
+            toRouter.add(new RouterApi.Outcome(
+                    life.call.ref(), attempt, true, Result.NOT_SENT, 0, server, Role.UNKNOWN, RouterApi.NONE, null));
             forget(life);
             return;
         }
@@ -429,8 +461,11 @@
         @Override
         public void refuse(long id, long retryAfter) {
             boolean doubtful = handover != null && handover.isDoubtful(id);
-            close(id, doubtful ? new Reply.Failed(Reply.Reason.KEY_IN_DOUBT)
-                    : new Reply.Refused(Reply.Reason.GIVEN_UP, retryAfter));
+            close(
+                    id,
+                    doubtful
+                            ? new Reply.Failed(Reply.Reason.KEY_IN_DOUBT)
+                            : new Reply.Refused(Reply.Reason.GIVEN_UP, retryAfter));
         }
 
         @Override
--- a/src/main/java/crankwick/broker/BrokerEvent.java
+++ b/src/main/java/crankwick/broker/BrokerEvent.java
@@ -10,39 +10,31 @@
 /** What the broker is told. */
 public sealed interface BrokerEvent {
     /** A caller's request has come in whole. */
-    record Taken(Call call) implements BrokerEvent {
-    }
+    record Taken(Call call) implements BrokerEvent {}
 
     /** The caller has gone; no answer is owed. */
-    record Left(long ref) implements BrokerEvent {
-    }
+    record Left(long ref) implements BrokerEvent {}
 
     /** The last byte of an attempt has been written. */
-    record Written(long ref, int attempt) implements BrokerEvent {
-    }
+    record Written(long ref, int attempt) implements BrokerEvent {}
 
     /** An attempt has ended; {@code value} counts where the result is OK. */
-    record Ended(long ref, int attempt, Result result, long duration, Role role, long position,
-            Report report, byte[] value) implements BrokerEvent {
-    }
+    record Ended(
+            long ref, int attempt, Result result, long duration, Role role, long position, Report report, byte[] value)
+            implements BrokerEvent {}
 
     /** A probe has ended. */
-    record Probed(String server, Result result, long duration, Report report) implements BrokerEvent {
-    }
+    record Probed(String server, Result result, long duration, Report report) implements BrokerEvent {}
 
     /** News of the list of databases. */
-    record Listed(ListKind kind, List<Member> members) implements BrokerEvent {
-    }
+    record Listed(ListKind kind, List<Member> members) implements BrokerEvent {}
 
     /** A timer that the decision module armed. */
-    record RouterDue(long ref) implements BrokerEvent {
-    }
+    record RouterDue(long ref) implements BrokerEvent {}
 
     /** What is held for changes of primaries is to be looked at. */
-    record HandoverDue() implements BrokerEvent {
-    }
+    record HandoverDue() implements BrokerEvent {}
 
     /** A request's caller has now waited as long as it will. */
-    record DeadlineDue(long ref) implements BrokerEvent {
-    }
+    record DeadlineDue(long ref) implements BrokerEvent {}
 }
--- a/src/main/java/crankwick/broker/Call.java
+++ b/src/main/java/crankwick/broker/Call.java
@@ -12,6 +12,14 @@
  * @param key its idempotency key; null for none
  * @param bytes how many bytes holding its statement takes
  */
-public record Call(long ref, String id, String team, int cls, long group, long session, long after,
-        long patience, String key, int bytes) {
-}
+public record Call(
+        long ref,
+        String id,
+        String team,
+        int cls,
+        long group,
+        long session,
+        long after,
+        long patience,
+        String key,
+        int bytes) {}
--- a/src/main/java/crankwick/broker/Counters.java
+++ b/src/main/java/crankwick/broker/Counters.java
@@ -48,7 +48,7 @@
     /** One line for the operators. */
     @Override
     public String toString() {
-        return "taken=" + taken + " sent=" + sent + " probes=" + probes + " served=" + served + " refused="
-                + refused + " failed=" + failed + " left=" + left + " outcomes=" + outcomes;
+        return "taken=" + taken + " sent=" + sent + " probes=" + probes + " served=" + served + " refused=" + refused
+                + " failed=" + failed + " left=" + left + " outcomes=" + outcomes;
     }
 }
--- a/src/main/java/crankwick/broker/Effect.java
+++ b/src/main/java/crankwick/broker/Effect.java
@@ -7,30 +7,23 @@
      * from {@code beginBy} on: the client has given up by then, or the window in which databases discard
      * repeats of an attempt that may have run is over.
      */
-    record Send(long ref, int attempt, String server, long expires, long beginBy) implements Effect {
-    }
+    record Send(long ref, int attempt, String server, long expires, long beginBy) implements Effect {}
 
     /** Stop waiting for an attempt, so that it can no longer be answered. */
-    record Withdraw(long ref, int attempt) implements Effect {
-    }
+    record Withdraw(long ref, int attempt) implements Effect {}
 
     /** End an attempt of which nothing has been written yet; one that has begun goes on. */
-    record Recall(long ref) implements Effect {
-    }
+    record Recall(long ref) implements Effect {}
 
     /** Give the caller its final answer. */
-    record Answer(long ref, Reply reply) implements Effect {
-    }
+    record Answer(long ref, Reply reply) implements Effect {}
 
     /** Ask a database for its report. */
-    record Probe(String server) implements Effect {
-    }
+    record Probe(String server) implements Effect {}
 
     /** Tell the broker {@code event} after so many microseconds. */
-    record Arm(long delay, BrokerEvent event) implements Effect {
-    }
+    record Arm(long delay, BrokerEvent event) implements Effect {}
 
     /** A line for the operators. */
-    record Log(String line) implements Effect {
-    }
+    record Log(String line) implements Effect {}
 }
--- a/src/main/java/crankwick/broker/Reply.java
+++ b/src/main/java/crankwick/broker/Reply.java
@@ -8,19 +8,23 @@
      * and its key's window is over. OVER_KEYS: no room to remember another key.
      */
     enum Reason {
-        GIVEN_UP, CLASS_NOT_ALLOWED, OVER_RATE, OVER_OUTSTANDING, NO_OUTCOME, ID_IN_USE, NO_PRIMARY,
-        KEY_IN_DOUBT, OVER_KEYS
+        GIVEN_UP,
+        CLASS_NOT_ALLOWED,
+        OVER_RATE,
+        OVER_OUTSTANDING,
+        NO_OUTCOME,
+        ID_IN_USE,
+        NO_PRIMARY,
+        KEY_IN_DOUBT,
+        OVER_KEYS
     }
 
     /** Served with the value as a database gave it (null is SQL's NULL), and the position it told. */
-    record Served(byte[] value, boolean write, long position) implements Reply {
-    }
+    record Served(byte[] value, boolean write, long position) implements Reply {}
 
     /** Refused: nothing ran that matters; {@code retryAfter} in microseconds, 0 for no word on it. */
-    record Refused(Reason reason, long retryAfter) implements Reply {
-    }
+    record Refused(Reason reason, long retryAfter) implements Reply {}
 
     /** Failed: it may or may not have had an effect. */
-    record Failed(Reason reason) implements Reply {
-    }
+    record Failed(Reason reason) implements Reply {}
 }
--- a/src/main/java/crankwick/discovery/Discovery.java
+++ b/src/main/java/crankwick/discovery/Discovery.java
@@ -17,8 +17,7 @@
     void close();
 
     /** A database as the list names it; {@code address} is the one that this proxy reaches it at. */
-    record Host(Member member, InetSocketAddress address) {
-    }
+    record Host(Member member, InetSocketAddress address) {}
 
     /** What has been heard: changes, or a whole list. */
     record News(ListKind kind, List<Host> hosts) {
--- a/src/main/java/crankwick/discovery/DnsSdFile.java
+++ b/src/main/java/crankwick/discovery/DnsSdFile.java
@@ -34,8 +34,7 @@
     private static final Logger LOG = LoggerFactory.getLogger(DnsSdFile.class);
 
     /** The records' file, and the service's name in it. */
-    public record Zone(Path file, Name service) {
-    }
+    public record Zone(Path file, Name service) {}
 
     private final Callable<Zone> configured;
     private final List<String> zones;
@@ -47,14 +46,21 @@
     private String last = "";
     /** What was wrong when it was last looked at: a line is worth it once. */
     private String fault = "";
+
     private boolean watching;
 
     /**
      * Goes on from {@code known}; {@code zones} names them in the settings' order. The file is looked at
      * every so many microseconds.
      */
-    public DnsSdFile(Zone zone, Callable<Zone> configured, List<String> zones, News known, long rereadEvery,
-            EventLoop loop, Consumer<News> listener) {
+    public DnsSdFile(
+            Zone zone,
+            Callable<Zone> configured,
+            List<String> zones,
+            News known,
+            long rereadEvery,
+            EventLoop loop,
+            Consumer<News> listener) {
         this.zone = zone;
         this.configured = configured;
         this.zones = zones;
@@ -75,8 +81,8 @@
         try {
             zone = configured.call();
         } catch (Exception e) {
-            LOG.warn("the configuration can't be read, {} stays: {}", zone.file().getFileName(),
-                    e.getMessage());
+            LOG.warn(
+                    "the configuration can't be read, {} stays: {}", zone.file().getFileName(), e.getMessage());
             return;
         }
         read();
@@ -138,14 +144,18 @@
         List<Listing.Entry> entries = new ArrayList<>();
         for (Name instance : instances) {
             SRVRecord place = places.get(instance);
-            entries.add(entry(instance, place, place == null ? null : addresses.get(place.getTarget()),
-                    texts.get(instance), zones));
+            entries.add(entry(
+                    instance,
+                    place,
+                    place == null ? null : addresses.get(place.getTarget()),
+                    texts.get(instance),
+                    zones));
         }
         return entries;
     }
 
-    private static Listing.Entry entry(Name instance, SRVRecord place, InetAddress address, TXTRecord txt,
-            List<String> zones) {
+    private static Listing.Entry entry(
+            Name instance, SRVRecord place, InetAddress address, TXTRecord txt, List<String> zones) {
         String server = instance.getLabelString(0);
         Standing standing = null;
         try {
@@ -155,8 +165,12 @@
             if (address == null) {
                 throw new IllegalArgumentException("lacks its SRV or A");
             }
-            Member member = new Member(server, zones.indexOf(facts.getOrDefault("zone", "")),
-                    Long.parseLong(facts.getOrDefault("cell", "")), role, standing,
+            Member member = new Member(
+                    server,
+                    zones.indexOf(facts.getOrDefault("zone", "")),
+                    Long.parseLong(facts.getOrDefault("cell", "")),
+                    role,
+                    standing,
                     Long.parseLong(facts.getOrDefault("started_ms", "0")) * 1_000);
             return Listing.Entry.of(new Host(member, new InetSocketAddress(address, place.getPort())));
         } catch (IllegalArgumentException e) {
--- a/src/main/java/crankwick/discovery/HttpWatch.java
+++ b/src/main/java/crankwick/discovery/HttpWatch.java
@@ -43,14 +43,23 @@
     private Exchange exchange;
     /** The call that was open where discovery was before; until the new place answers, or null. */
     private Exchange left;
+
     private EventLoop.Timer timer;
     private boolean closed;
     private boolean troubled;
     private String fault;
 
     /** Goes on from {@code known}, of that version; {@code configured} reads the configured address. */
-    public HttpWatch(Transport transport, EventLoop loop, Clock clock, InetSocketAddress address,
-            Callable<InetSocketAddress> configured, ListCodec codec, News known, long version, long seed,
+    public HttpWatch(
+            Transport transport,
+            EventLoop loop,
+            Clock clock,
+            InetSocketAddress address,
+            Callable<InetSocketAddress> configured,
+            ListCodec codec,
+            News known,
+            long version,
+            long seed,
             Consumer<News> listener) {
         this.transport = transport;
         this.loop = loop;
@@ -98,8 +107,7 @@
 
     @Override
     public void open(long call, long from, long hold) {
-        exchange = new Exchange(call,
-                from == WatchKeeper.WHOLE ? null : "from=" + from + "&hold_ms=" + hold / 1_000);
+        exchange = new Exchange(call, from == WatchKeeper.WHOLE ? null : "from=" + from + "&hold_ms=" + hold / 1_000);
     }
 
     @Override
@@ -187,8 +195,7 @@
         Exchange(long call, String query) {
             this.call = call;
             this.query = query;
-            connecting = transport.connect(address, this,
-                    Transport.chain(new HttpClientFilter(), new Receiver()));
+            connecting = transport.connect(address, this, Transport.chain(new HttpClientFilter(), new Receiver()));
         }
 
         @Override
@@ -201,9 +208,11 @@
                 }
                 keeper.connected(call, clock.now());
                 arm();
-                HttpRequestPacket.Builder request = HttpRequestPacket.builder().method("GET").uri(PATH)
-                        .protocol(Protocol.HTTP_1_1).header("Host",
-                                address.getHostString() + ':' + address.getPort());
+                HttpRequestPacket.Builder request = HttpRequestPacket.builder()
+                        .method("GET")
+                        .uri(PATH)
+                        .protocol(Protocol.HTTP_1_1)
+                        .header("Host", address.getHostString() + ':' + address.getPort());
                 if (query != null) {
                     request.query(query);
                 }
--- a/src/main/java/crankwick/discovery/ListCodec.java
+++ b/src/main/java/crankwick/discovery/ListCodec.java
@@ -20,8 +20,7 @@
     }
 
     /** A list's version, whether it claims to be whole, and its entries as far as they can be read. */
-    public record Versioned(long version, boolean full, List<Listing.Entry> entries) {
-    }
+    public record Versioned(long version, boolean full, List<Listing.Entry> entries) {}
 
     /** Reads a list; throws IllegalArgumentException or another RuntimeException on what is none. */
     public Versioned parse(String json) {
@@ -46,17 +45,20 @@
             standing = standing(o.get("state").getAsString());
             return Listing.Entry.of(host(o, server, standing));
         } catch (RuntimeException unreadable) {
-            return new Listing.Entry(server, standing, null,
-                    "servers[" + place + "]: " + unreadable.getMessage());
+            return new Listing.Entry(server, standing, null, "servers[" + place + "]: " + unreadable.getMessage());
         }
     }
 
     private Discovery.Host host(JsonObject o, String server, Standing standing) {
-        Role role = o.has("mode") && o.get("mode").getAsString().equals("read-write") ? Role.PRIMARY
-                : Role.UNKNOWN;
+        Role role = o.has("mode") && o.get("mode").getAsString().equals("read-write") ? Role.PRIMARY : Role.UNKNOWN;
         long started = o.has("started_ms") ? (long) (o.get("started_ms").getAsDouble() * 1_000) : 0;
-        Member member = new Member(server, zones.indexOf(o.get("zone").getAsString()),
-                o.get("cell").getAsLong(), role, standing, started);
+        Member member = new Member(
+                server,
+                zones.indexOf(o.get("zone").getAsString()),
+                o.get("cell").getAsLong(),
+                role,
+                standing,
+                started);
         return new Discovery.Host(member, address(o.get("addr").getAsString()));
     }
 
--- a/src/main/java/crankwick/discovery/Listing.java
+++ b/src/main/java/crankwick/discovery/Listing.java
@@ -72,8 +72,10 @@
             whole &= entry.server() != null;
             Discovery.Host host = entry.host() != null ? entry.host() : lastOf(entry);
             if (host != null) {
-                told.merge(entry.server(), host, (before, after) ->
-                        before.member().standing() == Standing.DRAINING ? before : after);
+                told.merge(
+                        entry.server(),
+                        host,
+                        (before, after) -> before.member().standing() == Standing.DRAINING ? before : after);
             }
         }
         if (whole) {
@@ -96,7 +98,7 @@
             return host;
         }
         Member m = host.member();
-        return new Discovery.Host(new Member(m.server(), m.zone(), m.group(), m.role(), entry.standing(),
-                m.startedAt()), host.address());
+        return new Discovery.Host(
+                new Member(m.server(), m.zone(), m.group(), m.role(), entry.standing(), m.startedAt()), host.address());
     }
 }
--- a/src/main/java/crankwick/discovery/WatchKeeper.java
+++ b/src/main/java/crankwick/discovery/WatchKeeper.java
@@ -22,6 +22,7 @@
      * together: discovery takes calls in turn. What silence tells is not put off by a hold of up to 4 s.
      */
     static final long HOLD_LEAST = 2_000 * MS;
+
     static final long HOLD_MOST = 4_000 * MS;
     /** The hold of a watch opened anew: its answer says that the list is current again. */
     static final long HOLD_ANEW = 250 * MS;
@@ -33,9 +34,11 @@
     static final long PATIENCE = 500 * MS;
     /** How long a watch's first call may wait its turn; twice as long after each that was given up, up to: */
     static final long TURN = 2_000 * MS;
+
     static final long TURN_MOST = 8_000 * MS;
     /** The pause after a call that failed, doubling with each further one; drawn from the half up. */
     static final long PAUSE_FIRST = 150 * MS;
+
     static final long PAUSE_MOST = 600 * MS;
     /**
      * So many answers in part to one version are taken for all there is: after half a second it is no
@@ -67,14 +70,17 @@
     private boolean renumbered;
     /** The version last answered in part, and how many times; the last of them is gone on from. */
     private long inPart = WHOLE;
+
     private int inPartTimes;
     /** The call that is open, or 0; calls are numbered from 1. */
     private long open;
+
     private long opened;
     private long hold;
     private long heldFrom;
     /** Whether the call goes on where the last one was answered. */
     private boolean goesOn;
+
     private long dueAt = NEVER;
     private int failures;
     private int overdue;
@@ -200,7 +206,8 @@
 
     private void open(long now) {
         open = ++opened;
-        hold = goesOn ? HOLD_LEAST + random.nextLong(HOLD_MOST - HOLD_LEAST)
+        hold = goesOn
+                ? HOLD_LEAST + random.nextLong(HOLD_MOST - HOLD_LEAST)
                 : whole || troubleSince < NEVER ? HOLD_ANEW : HOLD_START + random.nextLong(HOLD_START);
         heldFrom = now;
         dueAt = now + CONNECT;
--- a/src/main/java/crankwick/emulate/Emulation.java
+++ b/src/main/java/crankwick/emulate/Emulation.java
@@ -3,8 +3,8 @@
 import crankwick.RouterApi.Role;
 import crankwick.model.GroupModel;
 import crankwick.model.ModelEffect;
-import crankwick.model.ModelEvent.Trouble.Kind;
 import crankwick.model.ModelEvent;
+import crankwick.model.ModelEvent.Trouble.Kind;
 import crankwick.model.ModelSettings;
 import crankwick.net.Clock;
 import crankwick.net.CodecFilter;
@@ -40,6 +40,7 @@
     private static final Logger LOG = LoggerFactory.getLogger(Emulation.class);
     /** The end of a connection may be noticed after what its peer did next on another. */
     private static final long CROSSING = 250_000;
+
     private static final InetAddress LOOPBACK = InetAddress.getLoopbackAddress();
 
     /** A proxy's connection to a member; one statement at a time. */
@@ -49,6 +50,7 @@
         final Connection<SocketAddress> connection;
         /** What is at the model; 0 for nothing. */
         long ref;
+
         boolean probe;
         boolean write;
         String id;
@@ -90,6 +92,7 @@
     private final Map<Long, Link> byRef = new HashMap<>();
     /** Where each request's attempt is. */
     private final Map<String, Link> inFlight = new HashMap<>();
+
     private final EmulationLedger ledger = new EmulationLedger();
     private long refs;
     private int changesLeft;
@@ -171,7 +174,9 @@
             LOG.warn("group {} member {} can't listen again", g.id, m, e);
         }
         if (kind == Kind.RETURN) {
-            links.values().stream().filter(l -> l.group == g && l.member == m && l.loginWaits).toList()
+            links.values().stream()
+                    .filter(l -> l.group == g && l.member == m && l.loginWaits)
+                    .toList()
                     .forEach(this::welcome);
         }
         list.set(entries(g, -1));
@@ -230,8 +235,10 @@
                     }
                 });
             }
-            tell(link.group, new ModelEvent.Query(link.ref, link.member, statement.key(),
-                    Math.max(0, statement.after() * 1_000)));
+            tell(
+                    link.group,
+                    new ModelEvent.Query(
+                            link.ref, link.member, statement.key(), Math.max(0, statement.after() * 1_000)));
         } catch (IllegalArgumentException e) {
             LOG.warn("a statement that no client sent: {}", text);
             byRef.remove(link.ref);
@@ -291,7 +298,10 @@
             ledger.vacant(g.id, clock.now(), e.planned());
         } else if (effect instanceof ModelEffect.Led e) {
             LOG.info("group {} is led by member {}", g.id, e.member());
-            ledger.led(g.id, clock.now(), e.member() != g.lastLeader,
+            ledger.led(
+                    g.id,
+                    clock.now(),
+                    e.member() != g.lastLeader,
                     clock.now() < g.model.startedAt(e.member()) + figures.ramp());
             g.lastLeader = e.member();
             loop.after(random.nextLong(2_800_000, 4_900_000), () -> {
@@ -312,8 +322,8 @@
         }
         link.ref = 0;
         inFlight.remove(link.id, link);
-        link.connection.write(new DatabaseReply(e.result(), e.role(), e.position(), e.report(),
-                "value of " + link.id, link.probe, link.write));
+        link.connection.write(new DatabaseReply(
+                e.result(), e.role(), e.position(), e.report(), "value of " + link.id, link.probe, link.write));
     }
 
     /** The list's lines for a group; roles change only where {@code primary} says so. */
@@ -321,8 +331,8 @@
         List<MemberList.Entry> all = new ArrayList<>();
         for (int m = 0; m < figures.members(); m++) {
             Role role = primary < 0 ? Role.UNKNOWN : m == primary ? Role.PRIMARY : Role.REPLICA;
-            all.add(new MemberList.Entry("g" + g.id + "m" + m, g.ports[m], g.id, role, g.model.drains(m),
-                    g.model.startedAt(m) / 1_000));
+            all.add(new MemberList.Entry(
+                    "g" + g.id + "m" + m, g.ports[m], g.id, role, g.model.drains(m), g.model.startedAt(m) / 1_000));
         }
         return all;
     }
--- a/src/main/java/crankwick/emulate/EmulationLedger.java
+++ b/src/main/java/crankwick/emulate/EmulationLedger.java
@@ -12,8 +12,7 @@
      * A time without a primary, in Unix microseconds; Long.MAX_VALUE while it lasts. {@code cold}: who
      * ended it had started too lately to be warm, so that it could not be sent all that waited.
      */
-    public record Vacancy(int group, long from, long until, boolean planned, boolean cold) {
-    }
+    public record Vacancy(int group, long from, long until, boolean planned, boolean cold) {}
 
     private final Map<String, Integer> applied = new HashMap<>();
     private final List<Vacancy> vacancies = new ArrayList<>();
@@ -34,8 +33,8 @@
 
     synchronized void led(int group, long at, boolean anew, boolean cold) {
         changes += anew ? 1 : 0;
-        vacancies.replaceAll(v -> v.group == group && v.until == Long.MAX_VALUE
-                ? new Vacancy(group, v.from, at, v.planned, cold) : v);
+        vacancies.replaceAll(v ->
+                v.group == group && v.until == Long.MAX_VALUE ? new Vacancy(group, v.from, at, v.planned, cold) : v);
     }
 
     /** When groups took no writes, in the order of their beginnings. */
--- a/src/main/java/crankwick/emulate/MemberList.java
+++ b/src/main/java/crankwick/emulate/MemberList.java
@@ -62,10 +62,10 @@
     synchronized void set(List<Entry> entries) {
         for (Entry e : entries) {
             Entry before = current.get(e.server());
-            Role role = e.role() != Role.UNKNOWN ? e.role() : before != null ? before.role()
-                    : e.server().endsWith("m0") ? Role.PRIMARY : Role.REPLICA;
-            current.put(e.server(), new Entry(e.server(), e.port(), e.group(), role, e.drains(),
-                    e.startedMs()));
+            Role role = e.role() != Role.UNKNOWN
+                    ? e.role()
+                    : before != null ? before.role() : e.server().endsWith("m0") ? Role.PRIMARY : Role.REPLICA;
+            current.put(e.server(), new Entry(e.server(), e.port(), e.group(), role, e.drains(), e.startedMs()));
         }
     }
 
@@ -78,8 +78,7 @@
             try {
                 Path whole = zoneFile.resolveSibling(zoneFile.getFileName() + ".new");
                 Files.writeString(whole, zone());
-                Files.move(whole, zoneFile, StandardCopyOption.REPLACE_EXISTING,
-                        StandardCopyOption.ATOMIC_MOVE);
+                Files.move(whole, zoneFile, StandardCopyOption.REPLACE_EXISTING, StandardCopyOption.ATOMIC_MOVE);
             } catch (IOException e) {
                 throw new IllegalStateException("the zone's file can't be written", e);
             }
@@ -110,11 +109,24 @@
     private String zone() {
         StringBuilder zone = new StringBuilder("$TTL 5\ndb.stations.example. IN A 127.0.0.1\n");
         for (Entry e : shown) {
-            zone.append("@ IN PTR ").append(e.server()).append("._tds._tcp.stations.example.\n")
-                    .append(e.server()).append(" IN SRV 0 0 ").append(e.port())
-                    .append(" db.stations.example.\n").append(e.server()).append(" IN TXT zone=")
-                    .append(zoneName).append(" cell=").append(e.group()).append(" mode=").append(e.mode())
-                    .append(" state=").append(e.state()).append(" started_ms=").append(e.startedMs())
+            zone.append("@ IN PTR ")
+                    .append(e.server())
+                    .append("._tds._tcp.stations.example.\n")
+                    .append(e.server())
+                    .append(" IN SRV 0 0 ")
+                    .append(e.port())
+                    .append(" db.stations.example.\n")
+                    .append(e.server())
+                    .append(" IN TXT zone=")
+                    .append(zoneName)
+                    .append(" cell=")
+                    .append(e.group())
+                    .append(" mode=")
+                    .append(e.mode())
+                    .append(" state=")
+                    .append(e.state())
+                    .append(" started_ms=")
+                    .append(e.startedMs())
                     .append('\n');
         }
         return zone.toString();
--- a/src/main/java/crankwick/handover/ChangeTimes.java
+++ b/src/main/java/crankwick/handover/ChangeTimes.java
@@ -51,7 +51,8 @@
 
     /** The median of what a change that has lasted for {@code age} goes on for. */
     long remaining(long age) {
-        long[] longer = Arrays.stream(samples, 0, count()).filter(s -> s > age).sorted().toArray();
+        long[] longer =
+                Arrays.stream(samples, 0, count()).filter(s -> s > age).sorted().toArray();
         return longer.length == 0 ? age : longer[longer.length / 2] - age;
     }
 }
--- a/src/main/java/crankwick/handover/Handover.java
+++ b/src/main/java/crankwick/handover/Handover.java
@@ -1,5 +1,6 @@
 package crankwick.handover;
 
+import crankwick.RouterApi;
 import crankwick.RouterApi.ListKind;
 import crankwick.RouterApi.Member;
 import crankwick.RouterApi.Need;
@@ -11,7 +12,6 @@
 import crankwick.RouterApi.Scope;
 import crankwick.RouterApi.Settings;
 import crankwick.RouterApi.Standing;
-import crankwick.RouterApi;
 import crankwick.handover.Leadership.Phase;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -51,10 +51,19 @@
     }
 
     /** What becomes of an attempt: it goes out, or its key's window is over, or no key more is remembered. */
-    public enum Going { GO, WINDOW_OVER, NO_ROOM }
+    public enum Going {
+        GO,
+        WINDOW_OVER,
+        NO_ROOM
+    }
 
     /** What becomes of a request that has come in. */
-    public enum Admission { PASS, HOLD, REFUSE, FAIL }
+    public enum Admission {
+        PASS,
+        HOLD,
+        REFUSE,
+        FAIL
+    }
 
     /**
      * A request as it comes in; times in microseconds.
@@ -62,13 +71,13 @@
      * @param key its idempotency key; null for none
      * @param bytes the length of its statement
      */
-    public record Arrival(long ref, long group, String team, int cls, String key, int bytes, long expires) {
-    }
+    public record Arrival(long ref, long group, String team, int cls, String key, int bytes, long expires) {}
 
     /** Final answers come this long before the caller leaves. */
     private static final long MARGIN = 30_000;
     /** How often held requests' hopes are looked at again. */
     private static final long LOOK_EVERY = 50_000;
+
     private static final long RETRY_LEAST = 50_000;
     private static final double WINDOW_CUT = 0.7;
     /** Answers later than this share of the aim, or turned away, make the window smaller. */
@@ -84,11 +93,13 @@
         boolean held;
         /** Let go under the window; and the term in which. */
         long paced = -1;
+
         String server;
         long sentAt;
         long ranSince = Long.MAX_VALUE;
         /** The attempt out is the one that dates its key's window: that it never ran ends the doubt. */
         boolean datesKey;
+
         boolean answered;
 
         Tracked(Arrival arrival, RequestClass kind, GroupState group, long hash, long useful) {
@@ -173,8 +184,8 @@
                 withdrawn(m.server(), g, m.standing() == Standing.GONE, now);
             }
             boolean late = m.role() == Role.PRIMARY && g.leadership.leader() != null;
-            believed.add(late ? new Member(m.server(), m.zone(), m.group(), Role.UNKNOWN, m.standing(),
-                    m.startedAt()) : m);
+            believed.add(
+                    late ? new Member(m.server(), m.zone(), m.group(), Role.UNKNOWN, m.standing(), m.startedAt()) : m);
         }
         return believed;
     }
@@ -199,8 +210,7 @@
      * The role that may be believed of an attempt; UNKNOWN for a claim or denial that is overtaken. What
      * an answer tells is dated by the sending of its attempt: it may have been long on its way.
      */
-    public Role heard(String server, boolean write, long sentAt, Result result, Role role, long position,
-            long now) {
+    public Role heard(String server, boolean write, long sentAt, Result result, Role role, long position, long now) {
         GroupState g = ofServer.get(server);
         if (g == null) {
             return role;
@@ -251,7 +261,9 @@
     }
 
     private Report believed(GroupState g, String server, Report r, long now) {
-        if (r == null || r.role() == Role.UNKNOWN || r.position() == RouterApi.NONE
+        if (r == null
+                || r.role() == Role.UNKNOWN
+                || r.position() == RouterApi.NONE
                 || g.leadership.take(new Evidence.Told(server, r.role(), r.position(), r.position()), now)) {
             return r;
         }
@@ -394,7 +406,8 @@
 
     private boolean hopeful(Tracked t, long now) {
         GroupState g = t.group;
-        long until = t.ranSince == Long.MAX_VALUE ? t.useful
+        long until = t.ranSince == Long.MAX_VALUE
+                ? t.useful
                 : Math.min(t.useful, t.ranSince + t.kind.keyTtl() - settings.keyMargin());
         return g.times().hope(now - g.leadership.vacantSince(), until - now) >= settings.hopeLeast();
     }
@@ -455,8 +468,8 @@
             long took = now - l.vacantSince();
             g.times().add(took);
             counters.changes++;
-            decisions.log("group " + g.id + " term " + l.term() + " led by " + l.leader() + " after "
-                    + took / 1_000 + " ms" + (planned ? ", planned" : "") + ", " + g.queue.size() + " held");
+            decisions.log("group " + g.id + " term " + l.term() + " led by " + l.leader() + " after " + took / 1_000
+                    + " ms" + (planned ? ", planned" : "") + ", " + g.queue.size() + " held");
         }
         for (Tracked t : List.copyOf(g.passed.values())) {
             if (t.server != null && !t.server.equals(l.leader()) && !planned) {
--- a/src/main/java/crankwick/handover/HandoverSettings.java
+++ b/src/main/java/crankwick/handover/HandoverSettings.java
@@ -20,12 +20,24 @@
  *     {@code unplannedMost}. Default 2.9 to 6.6 s
  * @param plannedLeast the shortest change of a draining one; to {@code plannedMost}. Default 0.49 to 1 s
  */
-public record HandoverSettings(int heldPerGroup, int heldPerTeam, long bytesPerGroup, long bytesPerTeam,
-        double hopeLeast, int startWindow, long keyMargin, int keys, long keyMemory, long unplannedLeast,
-        long unplannedMost, long plannedLeast, long plannedMost) {
+public record HandoverSettings(
+        int heldPerGroup,
+        int heldPerTeam,
+        long bytesPerGroup,
+        long bytesPerTeam,
+        double hopeLeast,
+        int startWindow,
+        long keyMargin,
+        int keys,
+        long keyMemory,
+        long unplannedLeast,
+        long unplannedMost,
+        long plannedLeast,
+        long plannedMost) {
     /** The defaults, from the site's stated times. */
-    public static final HandoverSettings DEFAULT = new HandoverSettings(512, 2_048, 1 << 20, 4 << 20, 0.05, 4,
-            100_000, 65_536, 3_000_000, 2_900_000, 6_600_000, 490_000, 1_000_000);
+    public static final HandoverSettings DEFAULT = new HandoverSettings(
+            512, 2_048, 1 << 20, 4 << 20, 0.05, 4, 100_000, 65_536, 3_000_000, 2_900_000, 6_600_000, 490_000,
+            1_000_000);
 
     /** Checks every field; throws IllegalArgumentException naming the one at fault. */
     public HandoverSettings {
@@ -46,8 +58,20 @@
 
     /** The same with another least hope. */
     public HandoverSettings withHopeLeast(double hope) {
-        return new HandoverSettings(heldPerGroup, heldPerTeam, bytesPerGroup, bytesPerTeam, hope, startWindow,
-                keyMargin, keys, keyMemory, unplannedLeast, unplannedMost, plannedLeast, plannedMost);
+        return new HandoverSettings(
+                heldPerGroup,
+                heldPerTeam,
+                bytesPerGroup,
+                bytesPerTeam,
+                hope,
+                startWindow,
+                keyMargin,
+                keys,
+                keyMemory,
+                unplannedLeast,
+                unplannedMost,
+                plannedLeast,
+                plannedMost);
     }
 
     private static void require(boolean holds, String key) {
--- a/src/main/java/crankwick/handover/HoldQueue.java
+++ b/src/main/java/crankwick/handover/HoldQueue.java
@@ -32,8 +32,8 @@
         long bytes;
     }
 
-    private final TreeSet<Held> order = new TreeSet<>((a, b) -> a.order() != b.order()
-            ? Long.compare(a.order(), b.order()) : Long.compare(a.ref(), b.ref()));
+    private final TreeSet<Held> order = new TreeSet<>(
+            (a, b) -> a.order() != b.order() ? Long.compare(a.order(), b.order()) : Long.compare(a.ref(), b.ref()));
     private final Map<Long, Held> byRef = new HashMap<>();
     private final Map<String, Share> shares;
     private final HandoverSettings settings;
--- a/src/main/java/crankwick/handover/KeyRegistry.java
+++ b/src/main/java/crankwick/handover/KeyRegistry.java
@@ -14,9 +14,11 @@
 final class KeyRegistry {
     /** Eight each for hash, sending and end, four each for two links, two chains' heads and the state. */
     static final int BYTES = 37;
+
     private static final int NONE = -1;
     /** A slot of the wheel, in microseconds; and how many there are: longer windows go round again. */
     private static final long TICK = 8_192;
+
     private static final int SLOTS = 1_024;
     private static final byte FREE = 0;
     private static final byte OUT = 1;
@@ -148,8 +150,7 @@
     long ranSince(long hash, long now) {
         advance(now);
         int entry = find(hash);
-        return entry == NONE || states[entry] == DROPPED || endsAt[entry] <= now ? Long.MAX_VALUE
-                : sentAt[entry];
+        return entry == NONE || states[entry] == DROPPED || endsAt[entry] <= now ? Long.MAX_VALUE : sentAt[entry];
     }
 
     /** Keys in memory. */
--- a/src/main/java/crankwick/handover/Leadership.java
+++ b/src/main/java/crankwick/handover/Leadership.java
@@ -1,7 +1,7 @@
 package crankwick.handover;
 
-import crankwick.RouterApi.Role;
 import crankwick.RouterApi;
+import crankwick.RouterApi.Role;
 import java.util.ArrayDeque;
 import java.util.HashMap;
 import java.util.List;
@@ -30,8 +30,7 @@
     }
 
     /** A move of the phase or the leader, and what moved it. */
-    public record Move(long at, Phase from, Phase to, String leader, long term, Evidence why) {
-    }
+    public record Move(long at, Phase from, Phase to, String leader, long term, Evidence why) {}
 
     /** A present leader heard so lately is not given up for one who led before. */
     private static final long HEARD_LATELY = 500_000;
@@ -39,6 +38,7 @@
     private static final long CLAIM_AGE = 1_500_000;
     /** Positions are rounded to milliseconds on the wires. */
     private static final long ROUNDING = 2_000;
+
     private static final int MOVES_KEPT = 32;
 
     private final Map<String, Long> overtaken = new HashMap<>();
@@ -94,8 +94,12 @@
         boolean older = claim.asOf() < claimedAsOf;
         boolean present = led && now - heardAt < HEARD_LATELY;
         boolean returned = overtaken.containsKey(claim.server());
-        if (behind || older || returned && (present || claim.asOf() <= overtaken.get(claim.server())
-                || claim.position() == RouterApi.NONE && led)) {
+        if (behind
+                || older
+                || returned
+                        && (present
+                                || claim.asOf() <= overtaken.get(claim.server())
+                                || claim.position() == RouterApi.NONE && led)) {
             return false;
         }
         begin(claim, now);
--- a/src/main/java/crankwick/lab/DrainLab.java
+++ b/src/main/java/crankwick/lab/DrainLab.java
@@ -21,6 +21,7 @@
     private static final long GRACE = 2 * SECOND;
     /** When what silence or discovery holds back counts as told; for a call that may wait, after its wait. */
     private static final long TOLD = 6 * SECOND;
+
     private static final long TOLD_AFTER_HOLD = 2 * SECOND;
     /** Discovery turns callers away that would wait longer for their turn. */
     private static final long TURN_MOST = 2 * SECOND;
@@ -35,8 +36,7 @@
      * @param fleetTurn how long discovery takes to answer all proxies once, in microseconds
      * @param lateness of each timer of a proxy, in microseconds: a deliberate defect where it is large
      */
-    public record Options(int proxies, int rounds, long seed, long fleetTurn, long lateness) {
-    }
+    public record Options(int proxies, int rounds, long seed, long fleetTurn, long lateness) {}
 
     private final Options options;
     private final Simulation simulation = new Simulation(START);
@@ -79,8 +79,10 @@
         figures.put("proxies", options.proxies());
         figures.put("drains", options.rounds());
         figures.put("heard_late", late);
-        figures.put("not_heard", proxies.stream().filter(p -> p.version < version).count());
-        figures.put("calls_per_proxy_s",
+        figures.put(
+                "not_heard", proxies.stream().filter(p -> p.version < version).count());
+        figures.put(
+                "calls_per_proxy_s",
                 calls / (double) options.proxies() / ((simulation.now() - START) / (double) SECOND));
         return figures;
     }
@@ -115,7 +117,8 @@
     private void check(Proxy p, long drain) {
         if (p.version < drain) {
             late++;
-            violation = violation != null ? violation
+            violation = violation != null
+                    ? violation
                     : "proxy " + p.number + " has not heard of drain " + drain + " in time";
         }
     }
@@ -197,11 +200,13 @@
             waits = false;
             answeredAt = simulation.now();
             long brings = DrainLab.this.version;
-            simulation.after(TRIP, () -> tell(() -> {
-                if (keeper.answered(mine, brings, true, simulation.now())) {
-                    version = brings;
-                }
-            }));
+            simulation.after(
+                    TRIP,
+                    () -> tell(() -> {
+                        if (keeper.answered(mine, brings, true, simulation.now())) {
+                            version = brings;
+                        }
+                    }));
         }
 
         void fail(long mine) {
--- a/src/main/java/crankwick/lab/HandoverAudit.java
+++ b/src/main/java/crankwick/lab/HandoverAudit.java
@@ -8,8 +8,8 @@
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
-import java.util.Locale;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeMap;
@@ -26,6 +26,7 @@
 final class HandoverAudit {
     /** Microseconds for finding the new primary and for the write itself. */
     static final long MARGIN = 250_000;
+
     private static final int TRACE = 20_000;
     private static final int TRACE_SHOWN = 40;
 
@@ -55,7 +56,12 @@
     }
 
     /** Whether a write could have been served, by the kind of change; COLD: to a primary that is not warm. */
-    private enum Reach { NOT, UNPLANNED, PLANNED, COLD }
+    private enum Reach {
+        NOT,
+        UNPLANNED,
+        PLANNED,
+        COLD
+    }
 
     private static final class KeyState {
         int applied;
@@ -73,8 +79,7 @@
         String serving;
     }
 
-    private record Line(long at, int group, long ref, String text) {
-    }
+    private record Line(long at, int group, long ref, String text) {}
 
     private final long slack;
     private final long drainGrace;
@@ -94,6 +99,7 @@
             return size() > TRACE;
         }
     };
+
     private final ArrayDeque<Line> trace = new ArrayDeque<>();
     private String violation;
     private long failovers;
@@ -145,10 +151,17 @@
         note(now, group, ref, "VIOLATION " + what);
         if (violation == null) {
             failoversAtViolation = failovers;
-            StringBuilder text = new StringBuilder(what).append(" in group ").append(group)
-                    .append(", request ").append(ref).append('\n');
-            List<Line> lines = trace.stream().filter(l -> l.group == group && (l.ref == ref || l.ref < 0
-                    || key != null && (l.text.contains(key + " ") || asKeyed(l.ref, key))))
+            StringBuilder text = new StringBuilder(what)
+                    .append(" in group ")
+                    .append(group)
+                    .append(", request ")
+                    .append(ref)
+                    .append('\n');
+            List<Line> lines = trace.stream()
+                    .filter(l -> l.group == group
+                            && (l.ref == ref
+                                    || l.ref < 0
+                                    || key != null && (l.text.contains(key + " ") || asKeyed(l.ref, key))))
                     .toList();
             for (Line line : lines.subList(Math.max(0, lines.size() - TRACE_SHOWN), lines.size())) {
                 text.append(String.format("  %12.3f ms  %s%n", line.at / 1_000.0, line.text));
@@ -345,8 +358,9 @@
             return;
         }
         for (Asked a : g.affected) {
-            long ran = Math.min(a.ranSince, a.inFlight && !a.outAt.equals(leader) && a.outSince < ledAt
-                    ? a.outSince : Long.MAX_VALUE);
+            long ran = Math.min(
+                    a.ranSince,
+                    a.inFlight && !a.outAt.equals(leader) && a.outSince < ledAt ? a.outSince : Long.MAX_VALUE);
             boolean doubtful = ran != Long.MAX_VALUE && ran + keyTtl < ledAt + MARGIN;
             if (!a.lost && !doubtful && a.expires >= ledAt + MARGIN) {
                 a.reach = cold ? Reach.COLD : g.planned ? Reach.PLANNED : Reach.UNPLANNED;
@@ -419,29 +433,38 @@
         all.put("drain_violations", drainViolations);
         all.put("pace_violations", paceViolations);
         all.put("fallen", fallen);
-        all.put("violations", appliedTwice + servedNotApplied + secondAttempts + windowResends + misdirected
-                + refusedInDoubt + answersLate + answersMissing + drainViolations + paceViolations + fallen);
+        all.put(
+                "violations",
+                appliedTwice
+                        + servedNotApplied
+                        + secondAttempts
+                        + windowResends
+                        + misdirected
+                        + refusedInDoubt
+                        + answersLate
+                        + answersMissing
+                        + drainViolations
+                        + paceViolations
+                        + fallen);
         all.put("first_violation_after", violation == null ? -1 : failoversAtViolation);
         int unplanned = Reach.UNPLANNED.ordinal();
         int planned = Reach.PLANNED.ordinal();
         all.put("reachable", reachable[unplanned] + reachable[planned]);
-        all.put("served_of_reachable", share(reached[unplanned] + reached[planned],
-                reachable[unplanned] + reachable[planned]));
+        all.put(
+                "served_of_reachable",
+                share(reached[unplanned] + reached[planned], reachable[unplanned] + reachable[planned]));
         for (Reach reach : List.of(Reach.UNPLANNED, Reach.PLANNED, Reach.COLD)) {
             String name = reach.name().toLowerCase(Locale.ROOT);
             all.put("reachable_" + name, reachable[reach.ordinal()]);
-            all.put("served_of_reachable_" + name, share(reached[reach.ordinal()],
-                    reachable[reach.ordinal()]));
+            all.put("served_of_reachable_" + name, share(reached[reach.ordinal()], reachable[reach.ordinal()]));
         }
         all.put("served", served);
         all.put("refused", refused);
         all.put("failed", failed);
         all.put("refused_writes", refusedWrites);
-        all.put("mean_wait_of_refused_writes_ms",
-                refusedWrites == 0 ? 0 : refusalWaits / refusedWrites / 1_000);
+        all.put("mean_wait_of_refused_writes_ms", refusedWrites == 0 ? 0 : refusalWaits / refusedWrites / 1_000);
         Map<String, Long> byReason = new TreeMap<>();
-        reasons.forEach((reason, count) -> byReason.put(reason.name().toLowerCase(Locale.ROOT),
-                count));
+        reasons.forEach((reason, count) -> byReason.put(reason.name().toLowerCase(Locale.ROOT), count));
         all.put("reasons", byReason);
         return all;
     }
--- a/src/main/java/crankwick/lab/HandoverLab.java
+++ b/src/main/java/crankwick/lab/HandoverLab.java
@@ -1,5 +1,6 @@
 package crankwick.lab;
 
+import crankwick.RouterApi;
 import crankwick.RouterApi.Limits;
 import crankwick.RouterApi.ListKind;
 import crankwick.RouterApi.ListRole;
@@ -16,7 +17,6 @@
 import crankwick.RouterApi.Settings;
 import crankwick.RouterApi.Standing;
 import crankwick.RouterApi.WhenBehind;
-import crankwick.RouterApi;
 import crankwick.broker.Broker;
 import crankwick.broker.BrokerEvent;
 import crankwick.broker.Call;
@@ -27,8 +27,8 @@
 import crankwick.handover.HandoverSettings;
 import crankwick.model.GroupModel;
 import crankwick.model.ModelEffect;
-import crankwick.model.ModelEvent.Trouble.Kind;
 import crankwick.model.ModelEvent;
+import crankwick.model.ModelEvent.Trouble.Kind;
 import crankwick.model.ModelSettings;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -46,7 +46,11 @@
 public final class HandoverLab {
     /** A deliberate defect of the world around the broker or of its settings, which the audit must catch. */
     public enum Fault {
-        NONE, RESEND_AFTER_WINDOW, LATE_LIST_BELIEVED, HELD_SENT_TWICE, RELEASE_WITHOUT_PACE
+        NONE,
+        RESEND_AFTER_WINDOW,
+        LATE_LIST_BELIEVED,
+        HELD_SENT_TWICE,
+        RELEASE_WITHOUT_PACE
     }
 
     /**
@@ -56,8 +60,7 @@
      * @param failovers changes of leaders after which the run comes to its end, 1 or more
      * @param handover what is set of changes; null leaves them to the router alone, as earlier versions did
      */
-    public record Options(int groups, int failovers, long seed, HandoverSettings handover, Fault fault) {
-    }
+    public record Options(int groups, int failovers, long seed, HandoverSettings handover, Fault fault) {}
 
     private static final long MS = 1_000;
     private static final long SECOND = 1_000 * MS;
@@ -67,6 +70,7 @@
     private static final long KEY_TTL = 2 * SECOND;
     /** Requests a second and group; and the longest run, in simulated time, for a change wanted. */
     private static final double RATE = 30;
+
     private static final double WRITES = 0.2;
     private static final double CHECKS = 0.1;
     private static final long RUN_MOST = 60 * SECOND;
@@ -76,6 +80,7 @@
     private static final int RESERVE = 2;
     /** In ten thousand: connections that break before, under, and after the work. */
     private static final int BREAKS = 20;
+
     private static final int RETRIES = 3;
     /** In a hundred, clients that ask again with a key that has failed. */
     private static final int IMPATIENT = 50;
@@ -123,8 +128,7 @@
     }
 
     /** A client's request with all its tries. */
-    private record Wish(int group, int cls, String key, long mustSee, int tries, long until,
-            boolean doubtful) {
+    private record Wish(int group, int cls, String key, long mustSee, int tries, long until, boolean doubtful) {
         Wish again(int more, long newUntil, boolean nowDoubtful) {
             return new Wish(group, cls, key, mustSee, tries + more, newUntil, doubtful || nowDoubtful);
         }
@@ -157,26 +161,49 @@
         boolean endless = options.fault() == Fault.RESEND_AFTER_WINDOW;
         settings = settings(endless ? 60 * SECOND : KEY_TTL);
         HandoverSettings d = options.handover();
-        changes = d == null || options.fault() != Fault.RELEASE_WITHOUT_PACE ? d
-                : new HandoverSettings(d.heldPerGroup(), d.heldPerTeam(), d.bytesPerGroup(),
-                        d.bytesPerTeam(), d.hopeLeast(), 1_000_000, d.keyMargin(), d.keys(), d.keyMemory(),
-                        d.unplannedLeast(), d.unplannedMost(), d.plannedLeast(), d.plannedMost());
-        audit = new HandoverAudit(options.groups(), settings.rules().answerSlack(),
-                settings.rules().drainGrace(), KEY_TTL,
+        changes = d == null || options.fault() != Fault.RELEASE_WITHOUT_PACE
+                ? d
+                : new HandoverSettings(
+                        d.heldPerGroup(),
+                        d.heldPerTeam(),
+                        d.bytesPerGroup(),
+                        d.bytesPerTeam(),
+                        d.hopeLeast(),
+                        1_000_000,
+                        d.keyMargin(),
+                        d.keys(),
+                        d.keyMemory(),
+                        d.unplannedLeast(),
+                        d.unplannedMost(),
+                        d.plannedLeast(),
+                        d.plannedMost());
+        audit = new HandoverAudit(
+                options.groups(),
+                settings.rules().answerSlack(),
+                settings.rules().drainGrace(),
+                KEY_TTL,
                 HandoverSettings.DEFAULT.startWindow());
     }
 
     /** As the site has them: a session read, a read that must be current, and a keyed write. */
     private static Settings settings(long keyTtl) {
-        return new Settings(1, 0, false, true, true, WhenBehind.WAIT, ListRole.LATE,
+        return new Settings(
+                1,
+                0,
+                false,
+                true,
+                true,
+                WhenBehind.WAIT,
+                ListRole.LATE,
                 new Rules(20 * MS, 2 * SECOND, false, 0.18, 16 * SECOND, 2.5, 2 * SECOND),
-                new Limits(true, true, true, 2 * SECOND, 8, CONNECT_TIMEOUT), new Prices(0.0095, 0.021, 0.05),
-                List.of(new RequestClass(Need.SESSION, 0, Repeat.SAFE, Scope.ALL, 5 * SECOND, 500 * MS,
-                                1_200 * MS, 1, 0),
-                        new RequestClass(Need.FRESH, 0, Repeat.SAFE, Scope.ALL, 5 * SECOND, 600 * MS,
-                                2 * SECOND, 1, 0),
-                        new RequestClass(Need.WRITE, 0, Repeat.KEYED, Scope.GROUP, keyTtl, 750 * MS,
-                                3 * SECOND, 6, 0.5)));
+                new Limits(true, true, true, 2 * SECOND, 8, CONNECT_TIMEOUT),
+                new Prices(0.0095, 0.021, 0.05),
+                List.of(
+                        new RequestClass(
+                                Need.SESSION, 0, Repeat.SAFE, Scope.ALL, 5 * SECOND, 500 * MS, 1_200 * MS, 1, 0),
+                        new RequestClass(Need.FRESH, 0, Repeat.SAFE, Scope.ALL, 5 * SECOND, 600 * MS, 2 * SECOND, 1, 0),
+                        new RequestClass(
+                                Need.WRITE, 0, Repeat.KEYED, Scope.GROUP, keyTtl, 750 * MS, 3 * SECOND, 6, 0.5)));
     }
 
     /** Runs to the end; the figures, of which "violations" must be 0. */
@@ -192,11 +219,12 @@
         nextRestart();
         long latest = START + RUN_MOST * options.failovers() / options.groups() + RUN_MOST;
         while (audit.failovers() < options.failovers() && time.now() < latest && time.step()) {
-            heldMax = Math.max(heldMax, broker.handover() == null ? 0 : broker.handover().held());
+            heldMax = Math.max(
+                    heldMax, broker.handover() == null ? 0 : broker.handover().held());
         }
         ending = true;
         long rest = time.now() + 10 * SECOND;
-        time.at(rest, () -> { });
+        time.at(rest, () -> {});
         while (time.now() < rest && time.step()) {
             continue;
         }
@@ -236,8 +264,7 @@
                 double draw = random.nextDouble();
                 int cls = draw < WRITES ? RESERVE : draw < WRITES + CHECKS ? CHECK : OWN;
                 long mustSee = cls == OWN ? time.now() - between(50 * MS, 2 * SECOND) : RouterApi.NONE;
-                ask(new Wish(g.id, cls, cls == RESERVE ? "k" + keys++ : null, mustSee, 0,
-                        Long.MAX_VALUE, false));
+                ask(new Wish(g.id, cls, cls == RESERVE ? "k" + keys++ : null, mustSee, 0, Long.MAX_VALUE, false));
                 nextArrival(g);
             }
         });
@@ -251,8 +278,17 @@
         long ref = ++refs;
         wishes.put(ref, wish);
         audit.asked(time.now(), ref, wish.group(), wish.key(), time.now() + patience);
-        tell(new BrokerEvent.Taken(new Call(ref, Long.toString(ref), "", wish.cls(), wish.group(), refs,
-                wish.mustSee(), patience, wish.key(), STATEMENT)));
+        tell(new BrokerEvent.Taken(new Call(
+                ref,
+                Long.toString(ref),
+                "",
+                wish.cls(),
+                wish.group(),
+                refs,
+                wish.mustSee(),
+                patience,
+                wish.key(),
+                STATEMENT)));
     }
 
     /**
@@ -264,8 +300,12 @@
         Wish wish = wishes.remove(ref);
         if (reply instanceof Reply.Refused r && wish.tries() < RETRIES && !ending) {
             time.after(Math.max(10 * MS, r.retryAfter()), () -> ask(wish.again(1, wish.until(), false)));
-        } else if (reply instanceof Reply.Failed && wish.key() != null && !wish.doubtful() && !ending
-                && changes != null && random.nextInt(100) < IMPATIENT) {
+        } else if (reply instanceof Reply.Failed
+                && wish.key() != null
+                && !wish.doubtful()
+                && !ending
+                && changes != null
+                && random.nextInt(100) < IMPATIENT) {
             long alive = generation;
             time.after(between(50 * MS, SECOND), () -> {
                 if (alive == generation) {
@@ -319,15 +359,22 @@
             Wish wish = wishes.remove(a.ref);
             long wait = between(50 * MS, 300 * MS);
             if (!wish.doubtful()) {
-                time.after(wait, () -> ask(wish.again(0, wish.key() == null ? Long.MAX_VALUE
-                        : Math.min(wish.until(), a.takenAt + KEY_TTL - 100 * MS), false)));
+                time.after(
+                        wait,
+                        () -> ask(wish.again(
+                                0,
+                                wish.key() == null
+                                        ? Long.MAX_VALUE
+                                        : Math.min(wish.until(), a.takenAt + KEY_TTL - 100 * MS),
+                                false)));
             }
         }
         startProxy();
     }
 
     private void tell(BrokerEvent event) {
-        HandoverCounters counters = broker.handover() == null ? null : broker.handover().counters();
+        HandoverCounters counters =
+                broker.handover() == null ? null : broker.handover().counters();
         long changesBefore = counters == null ? 0 : counters.changes();
         long releasedBefore = counters == null ? 0 : counters.released();
         List<Effect> effects = broker.reduce(event, time.now());
@@ -343,7 +390,8 @@
         long alive = generation;
         if (effect instanceof Effect.Send e) {
             send(e);
-            if (options.fault() == Fault.HELD_SENT_TWICE && broker.handover().counters().released() > 0) {
+            if (options.fault() == Fault.HELD_SENT_TWICE
+                    && broker.handover().counters().released() > 0) {
                 audit.sent(time.now(), e.ref(), e.server());
             }
         } else if (effect instanceof Effect.Answer e) {
@@ -433,9 +481,11 @@
                 tell(new BrokerEvent.Written(job.ref, job.attempt));
             }
             Wish wish = wishes.get(job.ref);
-            at(groupOf(job.server), job.isProbe() ? new ModelEvent.Probe(job.modelRef, member)
-                    : new ModelEvent.Query(job.modelRef, member, wish.key(),
-                            wish.mustSee()));
+            at(
+                    groupOf(job.server),
+                    job.isProbe()
+                            ? new ModelEvent.Probe(job.modelRef, member)
+                            : new ModelEvent.Query(job.modelRef, member, wish.key(), wish.mustSee()));
             if (chance(BREAKS)) {
                 time.after(way(), () -> {
                     if (atModels.containsKey(job.modelRef)) {
@@ -494,8 +544,7 @@
         boolean commits = g.model.commits();
         time.after(HandoverAudit.MARGIN, () -> {
             if (commits && g.model.commits()) {
-                audit.stable(g.id, change, ledAt, name(g, member),
-                        ledAt < g.model.startedAt(member) + figures.ramp());
+                audit.stable(g.id, change, ledAt, name(g, member), ledAt < g.model.startedAt(member) + figures.ramp());
             }
         });
         int old = g.lastLeader;
@@ -521,17 +570,23 @@
         }
         attempts.remove(job.ref, job);
         audit.ended(time.now(), job.ref, result);
-        tell(new BrokerEvent.Ended(job.ref, job.attempt, result, duration,
+        tell(new BrokerEvent.Ended(
+                job.ref,
+                job.attempt,
+                result,
+                duration,
                 answer == null ? Role.UNKNOWN : answer.role(),
-                answer == null ? RouterApi.NONE : answer.position(), report, new byte[1]));
+                answer == null ? RouterApi.NONE : answer.position(),
+                report,
+                new byte[1]));
     }
 
     // ---- The list ------------------------------------------------------------------------------------
 
     private Member entry(Group g, int m) {
         boolean drains = g.model.drains(m);
-        return new Member(name(g, m), 0, g.id, g.shownRole[m], drains ? Standing.DRAINING : Standing.LIVE,
-                g.shownStart[m]);
+        return new Member(
+                name(g, m), 0, g.id, g.shownRole[m], drains ? Standing.DRAINING : Standing.LIVE, g.shownStart[m]);
     }
 
     private void list(Group g, int m) {
@@ -540,8 +595,8 @@
         audit.note(time.now(), g.id, -1, "listed " + entry);
         tell(new BrokerEvent.Listed(ListKind.CHANGES, List.of(entry)));
         if (options.fault() == Fault.LATE_LIST_BELIEVED && entry.role() == Role.PRIMARY) {
-            tell(new BrokerEvent.Probed(entry.server(), Result.OK, 0,
-                    new Report(time.now(), Role.PRIMARY, 0, 0, Double.NaN)));
+            tell(new BrokerEvent.Probed(
+                    entry.server(), Result.OK, 0, new Report(time.now(), Role.PRIMARY, 0, 0, Double.NaN)));
         }
     }
 
@@ -593,7 +648,8 @@
     private void loseElected(Group g) {
         int victim = (g.model.lastLeader() + 1) % figures.members();
         int other = (victim + 1) % figures.members() == g.model.lastLeader()
-                ? (victim + 2) % figures.members() : (victim + 1) % figures.members();
+                ? (victim + 2) % figures.members()
+                : (victim + 1) % figures.members();
         if (g.model.leader() < 0 && g.model.answers(victim) && g.model.answers(other)) {
             befall(g, victim, Kind.DIE);
             back(g, victim, between(SECOND, 3 * SECOND));
--- a/src/main/java/crankwick/lab/Simulation.java
+++ b/src/main/java/crankwick/lab/Simulation.java
@@ -4,11 +4,10 @@
 
 /** Simulated time: tasks run in the order of their times, and of their coming where those are the same. */
 final class Simulation {
-    private record Task(long at, long number, Runnable work) {
-    }
+    private record Task(long at, long number, Runnable work) {}
 
-    private final PriorityQueue<Task> tasks = new PriorityQueue<>((a, b) -> a.at != b.at
-            ? Long.compare(a.at, b.at) : Long.compare(a.number, b.number));
+    private final PriorityQueue<Task> tasks =
+            new PriorityQueue<>((a, b) -> a.at != b.at ? Long.compare(a.at, b.at) : Long.compare(a.number, b.number));
     private long now;
     private long numbers;
 
--- a/src/main/java/crankwick/model/GroupModel.java
+++ b/src/main/java/crankwick/model/GroupModel.java
@@ -27,19 +27,21 @@
     /** Entries of the log that are kept behind the slowest member that is up. */
     private static final int LOG_TRIM = 4_096;
 
-    private enum State { UP, HUNG, DOWN, FALLEN }
+    private enum State {
+        UP,
+        HUNG,
+        DOWN,
+        FALLEN
+    }
 
     /** An entry of the log. */
-    private record Entry(String key, long commit) {
-    }
+    private record Entry(String key, long commit) {}
 
     /** Work that a cold member was sent. */
-    private record Sent(long at, double work) {
-    }
+    private record Sent(long at, double work) {}
 
     /** Something that falls due; {@code number} keeps the order of what falls due together. */
-    private record Timer(long at, long number, Runnable task) {
-    }
+    private record Timer(long at, long number, Runnable task) {}
 
     /** A statement at a member, until it is answered or its connection ends. */
     private static final class Job {
@@ -60,6 +62,7 @@
         boolean claims;
         /** Entries received and applied, counted from the log's beginning; when the last one is applied. */
         long received;
+
         long applied;
         long appliedAt;
         long shippedAt;
@@ -67,6 +70,7 @@
         long floor;
         /** How far its log reached when it last led. */
         long frozen;
+
         long startedAt = Long.MIN_VALUE / 2;
         int running;
         final Map<Long, Job> jobs = new LinkedHashMap<>();
@@ -83,23 +87,26 @@
     private final ModelSettings settings;
     private final SplittableRandom random;
     private final Member[] members;
-    private final PriorityQueue<Timer> timers = new PriorityQueue<>((a, b) -> a.at != b.at
-            ? Long.compare(a.at, b.at) : Long.compare(a.number, b.number));
+    private final PriorityQueue<Timer> timers =
+            new PriorityQueue<>((a, b) -> a.at != b.at ? Long.compare(a.at, b.at) : Long.compare(a.number, b.number));
     private final ArrayList<Entry> log = new ArrayList<>();
     /** Entries that were trimmed off the log's beginning. */
     private long trimmed;
+
     private final Map<String, Long> memory = new HashMap<>();
     private final ArrayDeque<Entry> memories = new ArrayDeque<>();
     /** Writes that wait for their entry to be received elsewhere, by the entry's place. */
     private final Map<Long, List<Job>> unacknowledged = new HashMap<>();
     /** Who takes writes, or -1; who did last; and a count that ends what belongs to an earlier leader. */
     private int leader;
+
     private int last;
     private long epoch;
     /** The last leader is not waited for any more. */
     private boolean givenUp;
     /** The position up to which the last leader has told its replicas that there is no more. */
     private long beat;
+
     private long numbers;
     private long now;
     private Consumer<ModelEffect> out;
@@ -209,8 +216,7 @@
         } else if (m.state == State.HUNG) {
             m.silentProbes.add(probe.ref());
         } else {
-            out.accept(new ModelEffect.Answered(probe.ref(), m.index, Result.OK, role(m), position(m),
-                    report(m)));
+            out.accept(new ModelEffect.Answered(probe.ref(), m.index, Result.OK, role(m), position(m), report(m)));
         }
     }
 
@@ -323,8 +329,7 @@
         long inEpoch = epoch;
         for (Member other : members) {
             if (other != m && other.state == State.UP) {
-                other.shippedAt = Math.max(other.shippedAt,
-                        now + between(settings.shipLeast(), settings.shipMost()));
+                other.shippedAt = Math.max(other.shippedAt, now + between(settings.shipLeast(), settings.shipMost()));
                 timers.add(new Timer(other.shippedAt, numbers++, () -> receive(other, place, inEpoch)));
             }
         }
@@ -339,8 +344,10 @@
         }
         m.received = place + 1;
         m.appliedAt = Math.max(m.appliedAt, now) + settings.applyWork();
-        timers.add(new Timer(m.appliedAt, numbers++, () -> m.applied = Math.max(m.applied,
-                Math.min(place + 1, trimmed + log.size()))));
+        timers.add(new Timer(
+                m.appliedAt,
+                numbers++,
+                () -> m.applied = Math.max(m.applied, Math.min(place + 1, trimmed + log.size()))));
         List<Job> waiting = unacknowledged.remove(place);
         if (waiting != null) {
             waiting.forEach(job -> answer(members[leader], job, Result.OK));
@@ -362,8 +369,8 @@
         m.jobs.remove(job.query.ref());
         if (!job.gone) {
             boolean commit = job.query.isWrite() && result == Result.OK;
-            out.accept(new ModelEffect.Answered(job.query.ref(), m.index, result, role(m),
-                    commit ? now : position(m), report(m)));
+            out.accept(new ModelEffect.Answered(
+                    job.query.ref(), m.index, result, role(m), commit ? now : position(m), report(m)));
         }
     }
 
@@ -387,8 +394,8 @@
     }
 
     private Report report(Member m) {
-        return new Report(position(m), role(m), m.waiting.size(),
-                Math.min(1, m.running / (double) settings.cores()), Double.NaN);
+        return new Report(
+                position(m), role(m), m.waiting.size(), Math.min(1, m.running / (double) settings.cores()), Double.NaN);
     }
 
     // ---- Changes -------------------------------------------------------------------------------------
@@ -463,8 +470,10 @@
         Member best = null;
         for (Member m : members) {
             boolean fit = m.state == State.UP && !m.draining && m.index != last;
-            if (fit && (best == null || m.received > best.received
-                    || m.received == best.received && m.startedAt < best.startedAt)) {
+            if (fit
+                    && (best == null
+                            || m.received > best.received
+                            || m.received == best.received && m.startedAt < best.startedAt)) {
                 best = m;
             }
         }
@@ -578,8 +587,8 @@
             m.applied = m.received;
         }
         if (hung) {
-            m.silentProbes.forEach(ref -> out.accept(new ModelEffect.Answered(ref, m.index, Result.OK,
-                    role(m), position(m), report(m))));
+            m.silentProbes.forEach(ref ->
+                    out.accept(new ModelEffect.Answered(ref, m.index, Result.OK, role(m), position(m), report(m))));
             m.silentProbes.clear();
             begin(m);
         }
@@ -609,8 +618,8 @@
             if (other != m && other.state == State.UP) {
                 for (long place = other.received; place < trimmed + log.size(); place++) {
                     long entry = place;
-                    other.shippedAt = Math.max(other.shippedAt,
-                            now + between(settings.shipLeast(), settings.shipMost()));
+                    other.shippedAt =
+                            Math.max(other.shippedAt, now + between(settings.shipLeast(), settings.shipMost()));
                     timers.add(new Timer(other.shippedAt, numbers++, () -> receive(other, entry, inEpoch)));
                 }
             }
--- a/src/main/java/crankwick/model/ModelEvent.java
+++ b/src/main/java/crankwick/model/ModelEvent.java
@@ -15,12 +15,10 @@
     }
 
     /** A question for the load report has arrived. */
-    record Probe(long ref, int member) implements ModelEvent {
-    }
+    record Probe(long ref, int member) implements ModelEvent {}
 
     /** The connection that a statement or a probe came on has ended. */
-    record Dropped(long ref) implements ModelEvent {
-    }
+    record Dropped(long ref) implements ModelEvent {}
 
     /** Something happens to a member. */
     record Trouble(Kind kind, int member) implements ModelEvent {
@@ -29,10 +27,14 @@
          * stay. DRAIN: new work is turned away; a primary hands over. RETURN: a dead or drained process
          * starts again, cold; a hung one goes on where it was.
          */
-        public enum Kind { DIE, HANG, DRAIN, RETURN }
+        public enum Kind {
+            DIE,
+            HANG,
+            DRAIN,
+            RETURN
+        }
     }
 
     /** The time that {@link GroupModel#nextDue} gave has come. */
-    record Due() implements ModelEvent {
-    }
+    record Due() implements ModelEvent {}
 }
--- a/src/main/java/crankwick/model/ModelSettings.java
+++ b/src/main/java/crankwick/model/ModelSettings.java
@@ -21,12 +21,49 @@
  * @param startCapacity share of the capacity at a start, 0 to 1, growing evenly over {@code ramp}
  * @param fallMultiple a cold member falls when sent this multiple of its capacity for {@code tipAfter}
  */
-public record ModelSettings(int members, int cores, int queue, long readWork, long writeWork, long shipLeast,
-        long shipMost, long applyWork, long readWait, long keyTtl, long giveUpLeast, long giveUpMost,
-        long takeoverLeast, long takeoverMost, long drainLeast, long drainMost, long claimMost,
-        double startCapacity, long ramp, double fallMultiple, long tipAfter) {
+public record ModelSettings(
+        int members,
+        int cores,
+        int queue,
+        long readWork,
+        long writeWork,
+        long shipLeast,
+        long shipMost,
+        long applyWork,
+        long readWait,
+        long keyTtl,
+        long giveUpLeast,
+        long giveUpMost,
+        long takeoverLeast,
+        long takeoverMost,
+        long drainLeast,
+        long drainMost,
+        long claimMost,
+        double startCapacity,
+        long ramp,
+        double fallMultiple,
+        long tipAfter) {
     /** Three members, as on the site. */
-    public static final ModelSettings SITE = new ModelSettings(3, 2, 60, 3_000, 4_000, 300, 2_500, 400,
-            20_000, 2_000_000, 1_300_000, 2_900_000, 1_600_000, 3_700_000, 490_000, 1_000_000, 1_000_000,
-            0.18, 16_000_000, 2.5, 2_000_000);
+    public static final ModelSettings SITE = new ModelSettings(
+            3,
+            2,
+            60,
+            3_000,
+            4_000,
+            300,
+            2_500,
+            400,
+            20_000,
+            2_000_000,
+            1_300_000,
+            2_900_000,
+            1_600_000,
+            3_700_000,
+            490_000,
+            1_000_000,
+            1_000_000,
+            0.18,
+            16_000_000,
+            2.5,
+            2_000_000);
 }
--- a/src/main/java/crankwick/net/ClientFront.java
+++ b/src/main/java/crankwick/net/ClientFront.java
@@ -41,14 +41,17 @@
     private static final Logger LOG = LoggerFactory.getLogger(ClientFront.class);
     /** From its coming up, a connection has so long to ask something; a command so long to come in whole. */
     private static final long FIRST_COMMAND = 2_000_000;
+
     private static final long STALL = 2_000_000;
     /** Answers that a client has not taken for so long end its connection. */
     private static final long UNREAD = 5_000_000;
     /** How long a connection is kept without a command; the second where they are more than half the cap. */
     private static final long IDLE = 10_000_000;
+
     private static final long IDLE_CROWDED = 2_000_000;
     /** After the last words, what comes in is dropped for so long: a reset would destroy those words. */
     private static final long LINGER = 2_000_000;
+
     private static final long SWEEP_EVERY = 100_000;
     /** Connections over the cap until the loop has let others go; with more, no further one is accepted. */
     private static final int SPARE = 16;
@@ -64,20 +67,26 @@
     private final Map<Long, ClientCommand> open = new HashMap<>();
     /** Connections with a descriptor, counted where they come and go; {@link #sessions} follows later. */
     private int held;
+
     private boolean full;
     private CodecFilter codec;
     private volatile TCPNIOServerConnection listener;
     private long lastRef;
     /** Sessions that are to be closed unless a command has just been read from them. */
     private int closeRequests;
+
     private boolean ready;
     private boolean closing;
     /** By then all has to be answered: a request that still comes in may want more time than is left. */
     private long answerBy = Long.MAX_VALUE;
 
     /** {@code teams} says which logins are known. */
-    public ClientFront(EffectRunner runner, List<RequestClass> classes, List<String> names,
-            Predicate<String> teams, int maxSessions) {
+    public ClientFront(
+            EffectRunner runner,
+            List<RequestClass> classes,
+            List<String> names,
+            Predicate<String> teams,
+            int maxSessions) {
         this.runner = runner;
         this.classes = classes;
         this.teams = teams;
@@ -167,8 +176,8 @@
     private boolean makeRoom(ClientSession newcomer) {
         ClientSession least = null;
         for (ClientSession session : sessions) {
-            boolean candidate = session != newcomer && !session.closeRequested
-                    && (session.cutAt > 0 || session.isIdle());
+            boolean candidate =
+                    session != newcomer && !session.closeRequested && (session.cutAt > 0 || session.isIdle());
             if (candidate && (least == null || session.needsLessThan(least))) {
                 least = session;
             }
@@ -252,16 +261,24 @@
             long now = runner.clock().now();
             long left = Math.min(readAt + statement.waitMs() * 1_000, answerBy) - now;
             long after = statement.after() > 0 ? statement.after() * 1_000 : -1;
-            runner.tell(new BrokerEvent.Taken(new Call(command.ref, statement.id(), session.team, cls,
-                    statement.cluster(), statement.sessionNumber(), after, Math.max(1, left),
-                    statement.key(), query.bytes())));
+            runner.tell(new BrokerEvent.Taken(new Call(
+                    command.ref,
+                    statement.id(),
+                    session.team,
+                    cls,
+                    statement.cluster(),
+                    statement.sessionNumber(),
+                    after,
+                    Math.max(1, left),
+                    statement.key(),
+                    query.bytes())));
         } catch (IllegalArgumentException e) {
             add(session, query, number, null, new FrontReply.Unreadable(e.getMessage()));
         }
     }
 
-    private ClientCommand add(ClientSession session, FrontMessage message, long number, Statement statement,
-            FrontReply reply) {
+    private ClientCommand add(
+            ClientSession session, FrontMessage message, long number, Statement statement, FrontReply reply) {
         ClientCommand command = new ClientCommand(session, ++lastRef, statement, number, message.bytes());
         command.reply = reply;
         session.commands.add(command);
--- a/src/main/java/crankwick/net/ClientSession.java
+++ b/src/main/java/crankwick/net/ClientSession.java
@@ -14,11 +14,13 @@
 final class ClientSession {
     /** Reading stops at so many commands that are not answered, or so many bytes of them. */
     private static final int MAX_UNANSWERED_COMMANDS = 1_024;
+
     private static final int MAX_UNANSWERED_BYTES = 64 * 1_024;
 
     final Connection<SocketAddress> connection;
     /** Commands in the order in which their answers go out. */
     final Deque<ClientCommand> commands = new ArrayDeque<>();
+
     String team;
     /** Whether a command has ever come in. */
     boolean asked;
@@ -26,9 +28,11 @@
     boolean ending;
     /** The connection is to be closed unless a command has just been read from it. */
     boolean closeRequested;
+
     long idleSince;
     /** When a connection that has had its last words is cut; 0 before. */
     long cutAt;
+
     private long messagesTaken;
 
     private int unanswered;
@@ -40,6 +44,7 @@
     private long messagesRead;
     /** Messages up to this one are cancelled. */
     private long cancelledTo;
+
     private boolean closed;
 
     ClientSession(Connection<SocketAddress> connection) {
@@ -71,8 +76,7 @@
     synchronized void settled(int bytes) {
         unanswered--;
         unansweredBytes -= bytes;
-        boolean little = unanswered <= MAX_UNANSWERED_COMMANDS / 2
-                && unansweredBytes <= MAX_UNANSWERED_BYTES / 2;
+        boolean little = unanswered <= MAX_UNANSWERED_COMMANDS / 2 && unansweredBytes <= MAX_UNANSWERED_BYTES / 2;
         if (paused && little) {
             paused = false;
             toggleReading(!readingStopped);
--- a/src/main/java/crankwick/net/CodecFilter.java
+++ b/src/main/java/crankwick/net/CodecFilter.java
@@ -125,7 +125,10 @@
 
         private static ByteBuffer joined(ByteBuffer first, ByteBuffer second) {
             int length = first.remaining() + second.remaining();
-            return ByteBuffer.allocate(Math.max(length, 2 * first.remaining())).put(first).put(second).flip();
+            return ByteBuffer.allocate(Math.max(length, 2 * first.remaining()))
+                    .put(first)
+                    .put(second)
+                    .flip();
         }
 
         private void reserve(long bytes, AtomicLong budget) {
--- a/src/main/java/crankwick/net/DatabaseCommand.java
+++ b/src/main/java/crankwick/net/DatabaseCommand.java
@@ -3,14 +3,11 @@
 /** What a database is asked, whatever its wire. */
 public sealed interface DatabaseCommand {
     /** The first words on a new connection. */
-    record Hello() implements DatabaseCommand {
-    }
+    record Hello() implements DatabaseCommand {}
 
     /** Runs a statement. */
-    record Run(String text) implements DatabaseCommand {
-    }
+    record Run(String text) implements DatabaseCommand {}
 
     /** Asks for the load report: a probe. */
-    record AskReport() implements DatabaseCommand {
-    }
+    record AskReport() implements DatabaseCommand {}
 }
--- a/src/main/java/crankwick/net/DatabasePool.java
+++ b/src/main/java/crankwick/net/DatabasePool.java
@@ -1,10 +1,10 @@
 package crankwick.net;
 
+import crankwick.RouterApi;
 import crankwick.RouterApi.ListKind;
 import crankwick.RouterApi.Result;
 import crankwick.RouterApi.Role;
 import crankwick.RouterApi.Standing;
-import crankwick.RouterApi;
 import crankwick.broker.BrokerEvent;
 import crankwick.broker.Effect;
 import crankwick.discovery.Discovery;
@@ -39,6 +39,7 @@
     private static final long PROBE_TIMEOUT = 250_000;
     /** An idle connection ends well before the database would end it under a request. */
     private static final double IDLE_SHARE = 0.5;
+
     private static final long REAP_EVERY = 1_000_000;
     /** A connection rests after an answer, so that what a database sends right behind it comes to light. */
     private static final long REST = 10_000;
@@ -46,6 +47,7 @@
     private static final long STALL = 250_000;
     /** A connection that breaks so soon under a command had been ended before, unnoticed. */
     private static final long AT_ONCE = 5_000;
+
     private static final long STALL_CHECK = 50_000;
     /** How long a host that has left the list is kept: by then nothing names it any more. */
     private static final long HOST_MEMORY = 60_000_000;
@@ -91,8 +93,10 @@
         private final long beginBy;
 
         Attempt(Effect.Send send, ClientCommand asked) {
-            super(send.server(), () -> new DatabaseCommand.Run(asked.statement.withWait(
-                    Math.max(1, (send.expires() - runner.clock().now()) / MICROS_PER_MILLI))));
+            super(
+                    send.server(),
+                    () -> new DatabaseCommand.Run(asked.statement.withWait(
+                            Math.max(1, (send.expires() - runner.clock().now()) / MICROS_PER_MILLI))));
             ref = send.ref();
             number = send.attempt();
             beginBy = send.beginBy();
@@ -112,11 +116,19 @@
         @Override
         void ended(Result result, long duration, DatabaseMessage.Answered answer) {
             attempts.remove(ref);
-            runner.tell(answer == null
-                    ? new BrokerEvent.Ended(ref, number, result, duration, Role.UNKNOWN, RouterApi.NONE, null,
-                            null)
-                    : new BrokerEvent.Ended(ref, number, result, duration, answer.role(), answer.position(),
-                            answer.report(), answer.value()));
+            runner.tell(
+                    answer == null
+                            ? new BrokerEvent.Ended(
+                                    ref, number, result, duration, Role.UNKNOWN, RouterApi.NONE, null, null)
+                            : new BrokerEvent.Ended(
+                                    ref,
+                                    number,
+                                    result,
+                                    duration,
+                                    answer.role(),
+                                    answer.position(),
+                                    answer.report(),
+                                    answer.value()));
         }
     }
 
@@ -139,8 +151,7 @@
 
         @Override
         void ended(Result result, long duration, DatabaseMessage.Answered answer) {
-            runner.tell(new BrokerEvent.Probed(server, result, duration,
-                    answer == null ? null : answer.report()));
+            runner.tell(new BrokerEvent.Probed(server, result, duration, answer == null ? null : answer.report()));
         }
     }
 
@@ -157,9 +168,11 @@
         AtomicBoolean started;
         /** The last byte of the job's command has been written; set by whichever thread wrote it. */
         volatile boolean written;
+
         long idleSince;
         /** Whether the connection had been idle before its job, and when that was begun. */
         boolean kept;
+
         long startedAt;
 
         Link(String server, Job job) {
@@ -366,14 +379,20 @@
     private final Map<String, Discovery.Host> hosts = new HashMap<>();
     /** When those hosts that are no longer listed left the list. */
     private final Map<String, Long> leftAt = new HashMap<>();
+
     private final Map<String, Deque<Link>> idle = new HashMap<>();
     private final Map<Connection<SocketAddress>, Link> byConnection = new HashMap<>();
     private final Map<Long, Attempt> attempts = new HashMap<>();
     private int links;
 
     /** Databases end connections idle for {@code idleLimit}; at most {@code maxLinks} are held. */
-    public DatabasePool(EffectRunner runner, Transport transport, CodecFilter codec, long connectTimeout,
-            long idleLimit, int maxLinks) {
+    public DatabasePool(
+            EffectRunner runner,
+            Transport transport,
+            CodecFilter codec,
+            long connectTimeout,
+            long idleLimit,
+            int maxLinks) {
         this.runner = runner;
         this.transport = transport;
         this.codec = codec;
@@ -400,8 +419,10 @@
             } else {
                 leftAt.remove(server);
             }
-            if (known != null && (gone || known.member().startedAt() != host.member().startedAt()
-                    || !known.address().equals(host.address()))) {
+            if (known != null
+                    && (gone
+                            || known.member().startedAt() != host.member().startedAt()
+                            || !known.address().equals(host.address()))) {
                 discardIdle(server);
             }
         }
@@ -437,7 +458,8 @@
     private void begin(Job job) {
         Discovery.Host host = hosts.get(job.server);
         Link link = rested(job.server);
-        Link resting = link != null ? null : idle.getOrDefault(job.server, noLinks).pollFirst();
+        Link resting =
+                link != null ? null : idle.getOrDefault(job.server, noLinks).pollFirst();
         if (link != null) {
             link.start(job);
         } else if (resting != null) {
@@ -506,7 +528,7 @@
             }
         }
         idle.values().removeIf(Deque::isEmpty);
-        for (Iterator<Map.Entry<String, Long>> left = leftAt.entrySet().iterator(); left.hasNext();) {
+        for (Iterator<Map.Entry<String, Long>> left = leftAt.entrySet().iterator(); left.hasNext(); ) {
             Map.Entry<String, Long> host = left.next();
             if (host.getValue() < now - HOST_MEMORY) {
                 discardIdle(host.getKey());
--- a/src/main/java/crankwick/net/DatabaseReply.java
+++ b/src/main/java/crankwick/net/DatabaseReply.java
@@ -11,8 +11,8 @@
  * @param value the row's value where the result is OK and this is no probe
  * @param write whether the statement was a write: a miss of one is worded unlike that of a read
  */
-public record DatabaseReply(Result result, Role role, long position, Report report, String value,
-        boolean probe, boolean write) {
+public record DatabaseReply(
+        Result result, Role role, long position, Report report, String value, boolean probe, boolean write) {
     /** The role as databases word it. */
     public String mode() {
         return role == Role.PRIMARY ? "read-write" : "read-only";
@@ -20,8 +20,7 @@
 
     /** The position in Unix milliseconds: a commit's is rounded up, any other down. */
     public long millis() {
-        return write && result == Result.OK ? Math.floorDiv(position + 999, 1_000L)
-                : Math.floorDiv(position, 1_000L);
+        return write && result == Result.OK ? Math.floorDiv(position + 999, 1_000L) : Math.floorDiv(position, 1_000L);
     }
 
     /** The load report, as {@link ReportCodec} reads it. */
--- a/src/main/java/crankwick/net/EventLoop.java
+++ b/src/main/java/crankwick/net/EventLoop.java
@@ -15,6 +15,7 @@
     private final ScheduledThreadPoolExecutor executor;
     /** Since the last word about lateness: the worst, and how many timers were; and when that word was. */
     private long worstLag;
+
     private int lateTimers;
     private long wordAt = System.nanoTime() - WORD_EVERY;
 
@@ -37,11 +38,14 @@
     /** Runs a task on the loop after so many microseconds. */
     public Timer after(long micros, Runnable task) {
         long due = System.nanoTime() + micros * 1_000;
-        var future = executor.schedule(guarded(() -> {
-            long now = System.nanoTime();
-            noteLag(now - due, now);
-            task.run();
-        }), Math.max(0, micros), TimeUnit.MICROSECONDS);
+        var future = executor.schedule(
+                guarded(() -> {
+                    long now = System.nanoTime();
+                    noteLag(now - due, now);
+                    task.run();
+                }),
+                Math.max(0, micros),
+                TimeUnit.MICROSECONDS);
         return () -> future.cancel(false);
     }
 
@@ -52,8 +56,7 @@
             worstLag = Math.max(worstLag, nanos);
         }
         if (lateTimers > 0 && now - wordAt >= WORD_EVERY) {
-            LOG.warn("the loop is up to {} ms late, {} timers since the last word", worstLag / 1_000_000,
-                    lateTimers);
+            LOG.warn("the loop is up to {} ms late, {} timers since the last word", worstLag / 1_000_000, lateTimers);
             lateTimers = 0;
             worstLag = 0;
             wordAt = now;
--- a/src/main/java/crankwick/net/FrontMessage.java
+++ b/src/main/java/crankwick/net/FrontMessage.java
@@ -8,8 +8,7 @@
     }
 
     /** It logs in for a team. */
-    record Login(String team) implements FrontMessage {
-    }
+    record Login(String team) implements FrontMessage {}
 
     /** One statement. */
     record Query(String text) implements FrontMessage {
@@ -20,18 +19,14 @@
     }
 
     /** The empty query: is the proxy ready? */
-    record Empty() implements FrontMessage {
-    }
+    record Empty() implements FrontMessage {}
 
     /** It no longer wants the answer to what it sent last. */
-    record Attention() implements FrontMessage {
-    }
+    record Attention() implements FrontMessage {}
 
     /** It ends the connection. */
-    record Quit() implements FrontMessage {
-    }
+    record Quit() implements FrontMessage {}
 
     /** What came in breaks the protocol; nothing after it can be trusted. */
-    record Broken(String fault) implements FrontMessage {
-    }
+    record Broken(String fault) implements FrontMessage {}
 }
--- a/src/main/java/crankwick/net/ReportCodec.java
+++ b/src/main/java/crankwick/net/ReportCodec.java
@@ -1,18 +1,18 @@
 package crankwick.net;
 
+import crankwick.RouterApi;
 import crankwick.RouterApi.Report;
 import crankwick.RouterApi.Role;
-import crankwick.RouterApi;
 import java.util.regex.Pattern;
 
 /** Reads a load report, {@code x0=1767225600.123,x1=0}, which is worded alike on every wire. */
 public final class ReportCodec {
     /** Narrower than what Java reads: no sign, no infinity, no hexadecimal, nothing of astronomic size. */
     private static final double MAX_NUMBER = 1e14;
+
     private static final Pattern NUMBER = Pattern.compile("\\d{1,14}(\\.\\d{1,14})?([eE]\\d{1,2})?");
 
-    private ReportCodec() {
-    }
+    private ReportCodec() {}
 
     /** The report, or null if any part of the text can't be read: then none of it is believed. */
     public static Report parse(String text) {
@@ -33,7 +33,7 @@
                 case "backlog", "queue" -> backlog = value;
                 case "utilization", "util" -> utilization = value;
                 case "outstanding", "inflight" -> inFlight = value;
-                default -> { }
+                default -> {}
             }
         }
         return new Report(position, role, backlog, utilization, inFlight);
--- a/src/main/java/crankwick/net/Transport.java
+++ b/src/main/java/crankwick/net/Transport.java
@@ -31,6 +31,7 @@
     private static final int READ_BUFFER = 16 * 1024;
     /** Guards against clients and databases that do not read: past this the write fails. */
     private static final int MAX_UNWRITTEN = 1 << 20;
+
     private static final int BACKLOG = 1024;
     private static final HeapMemoryManager MEMORY = new HeapMemoryManager(READ_BUFFER);
 
@@ -40,8 +41,11 @@
     public Transport() throws IOException {
         transport = TCPNIOTransportBuilder.newInstance()
                 .setSelectorRunnersCount(1)
-                .setSelectorThreadPoolConfig(ThreadPoolConfig.defaultConfig().setPoolName("selector")
-                        .setCorePoolSize(1).setMaxPoolSize(1).setThreadFactory(Transport::selectorThread))
+                .setSelectorThreadPoolConfig(ThreadPoolConfig.defaultConfig()
+                        .setPoolName("selector")
+                        .setCorePoolSize(1)
+                        .setMaxPoolSize(1)
+                        .setThreadFactory(Transport::selectorThread))
                 .setWorkerThreadPoolConfig(null)
                 .setIOStrategy(SameThreadIOStrategy.getInstance())
                 .setMemoryManager(MEMORY)
@@ -56,19 +60,25 @@
 
     /** As Grizzly makes it; its own factory spends a twentieth of a second on joining the name's parts. */
     private static Thread selectorThread(Runnable task) {
-        return new DefaultWorkerThread(Grizzly.DEFAULT_ATTRIBUTE_BUILDER, "selector",
-                MEMORY.createThreadLocalPool(), task);
+        return new DefaultWorkerThread(
+                Grizzly.DEFAULT_ATTRIBUTE_BUILDER, "selector", MEMORY.createThreadLocalPool(), task);
     }
 
     /** Listens at an address. */
     public TCPNIOServerConnection bind(InetSocketAddress address, BaseFilter... filters) throws IOException {
-        return TCPNIOBindingHandler.builder(transport).processor(chain(filters)).build().bind(address);
+        return TCPNIOBindingHandler.builder(transport)
+                .processor(chain(filters))
+                .build()
+                .bind(address);
     }
 
     /** Connects without waiting; to cancel what is returned ends a connection that is not up yet. */
-    public Future<?> connect(SocketAddress address, CompletionHandler<Connection<SocketAddress>> whenUp,
-            FilterChain chain) {
-        var connecting = TCPNIOConnectorHandler.builder(transport).processor(chain).build().connect(address);
+    public Future<?> connect(
+            SocketAddress address, CompletionHandler<Connection<SocketAddress>> whenUp, FilterChain chain) {
+        var connecting = TCPNIOConnectorHandler.builder(transport)
+                .processor(chain)
+                .build()
+                .connect(address);
         connecting.addCompletionHandler(new Connected(whenUp));
         return connecting;
     }
--- a/src/main/java/crankwick/pg/PgDatabaseCodec.java
+++ b/src/main/java/crankwick/pg/PgDatabaseCodec.java
@@ -1,9 +1,9 @@
 package crankwick.pg;
 
+import crankwick.RouterApi;
 import crankwick.RouterApi.Report;
 import crankwick.RouterApi.Result;
 import crankwick.RouterApi.Role;
-import crankwick.RouterApi;
 import crankwick.net.CodecFilter;
 import crankwick.net.DatabaseCommand;
 import crankwick.net.DatabaseMessage;
@@ -21,10 +21,16 @@
     private static final int MAX_MESSAGE = 128 * 1024;
     /** What follows a column's name: table, column, type, size, modifier, format. */
     private static final int COLUMN_FACTS = 18;
+
     private static final int CODE_LENGTH = 5;
 
     /** How far an answer has come. */
-    private enum Stage { NOTHING, DESCRIBED, ROW, DONE }
+    private enum Stage {
+        NOTHING,
+        DESCRIBED,
+        ROW,
+        DONE
+    }
 
     @Override
     protected Decoder newDecoder() {
@@ -122,14 +128,15 @@
                 case "mode" -> role = ReportCodec.role(content);
                 case "wal_time" -> position = ReportCodec.position(content);
                 case "stats" -> report = ReportCodec.parse(content);
-                default -> { }
+                default -> {}
             }
         }
 
         private void row(ByteBuffer body) {
             require(body.getShort() == 1, "not one value");
             int length = body.getInt();
-            require(length == body.remaining() || length == -1 && !body.hasRemaining(),
+            require(
+                    length == body.remaining() || length == -1 && !body.hasRemaining(),
                     "a value that does not fit its row");
             value = length < 0 ? null : new byte[length];
             if (value != null) {
@@ -215,7 +222,13 @@
         if (value instanceof DatabaseCommand.AskReport) {
             return out.text("SHOW stats").end('Q').toBytes();
         }
-        return out.int32(VERSION_3).text("user").text("crankwick").text("database").text("core").int8(0).end()
+        return out.int32(VERSION_3)
+                .text("user")
+                .text("crankwick")
+                .text("database")
+                .text("core")
+                .int8(0)
+                .end()
                 .toBytes();
     }
 }
--- a/src/main/java/crankwick/pg/PgFrontCodec.java
+++ b/src/main/java/crankwick/pg/PgFrontCodec.java
@@ -103,11 +103,16 @@
         } else if (value instanceof FrontReply.Unreadable u) {
             error(out, "ERROR", "42601", u.fault(), null);
         } else if (value instanceof FrontReply.Fatal f) {
-            error(out, "FATAL", switch (f.cause()) {
-                case TOO_MANY -> "53300";
-                case UNKNOWN_TEAM -> "28000";
-                case BROKEN -> "08P01";
-            }, f.fault(), null);
+            error(
+                    out,
+                    "FATAL",
+                    switch (f.cause()) {
+                        case TOO_MANY -> "53300";
+                        case UNKNOWN_TEAM -> "28000";
+                        case BROKEN -> "08P01";
+                    },
+                    f.fault(),
+                    null);
             return out.toBytes();
         } else {
             out.int32(0).end('R');
@@ -119,7 +124,15 @@
 
     private static void answer(PgWriter out, Reply reply) {
         if (reply instanceof Reply.Served served) {
-            out.int16(1).text("val").int32(0).int16(0).int32(BYTEA).int16(-1).int32(-1).int16(1).end('T');
+            out.int16(1)
+                    .text("val")
+                    .int32(0)
+                    .int16(0)
+                    .int32(BYTEA)
+                    .int16(-1)
+                    .int32(-1)
+                    .int16(1)
+                    .end('T');
             out.int16(1);
             if (served.value() == null) {
                 out.int32(-1);
@@ -130,20 +143,27 @@
             out.text(served.write() ? "INSERT 0 1" : "SELECT 1").end('C');
         } else if (reply instanceof Reply.Refused refused) {
             long millis = (refused.retryAfter() + 999) / 1_000;
-            error(out, "ERROR", "53300", "refused: " + refused.reason(),
-                    millis > 0 ? Long.toString(millis) : null);
+            error(out, "ERROR", "53300", "refused: " + refused.reason(), millis > 0 ? Long.toString(millis) : null);
         } else if (reply instanceof Reply.Failed failed) {
-            String code = switch (failed.reason()) {
-                case CLASS_NOT_ALLOWED -> "42501";
-                case ID_IN_USE -> "42710";
-                default -> "58000";
-            };
+            String code =
+                    switch (failed.reason()) {
+                        case CLASS_NOT_ALLOWED -> "42501";
+                        case ID_IN_USE -> "42710";
+                        default -> "58000";
+                    };
             error(out, "ERROR", code, "failed: " + failed.reason(), null);
         }
     }
 
     private static void error(PgWriter out, String severity, String code, String message, String detail) {
-        out.int8('S').text(severity).int8('V').text(severity).int8('C').text(code).int8('M').text(message);
+        out.int8('S')
+                .text(severity)
+                .int8('V')
+                .text(severity)
+                .int8('C')
+                .text(code)
+                .int8('M')
+                .text(message);
         if (detail != null) {
             out.int8('D').text(detail);
         }
--- a/src/main/java/crankwick/pg/PgMemberCodec.java
+++ b/src/main/java/crankwick/pg/PgMemberCodec.java
@@ -30,17 +30,27 @@
         if (reply.result() == Result.OK) {
             String text = reply.probe() ? reply.stats() : reply.value();
             byte[] row = text.getBytes(StandardCharsets.ISO_8859_1);
-            out.int16(1).text("val").int32(0).int16(0).int32(BYTEA).int16(-1).int32(-1).int16(1).end('T');
+            out.int16(1)
+                    .text("val")
+                    .int32(0)
+                    .int16(0)
+                    .int32(BYTEA)
+                    .int16(-1)
+                    .int32(-1)
+                    .int16(1)
+                    .end('T');
             out.int16(1).int32(row.length).bytes(row).end('D');
             out.text("SELECT 1").end('C');
         } else {
-            String code = switch (reply.result()) {
-                case MISS -> reply.write() ? "25006" : "72000";
-                case FULL -> "53300";
-                default -> "XX000";
-            };
+            String code =
+                    switch (reply.result()) {
+                        case MISS -> reply.write() ? "25006" : "72000";
+                        case FULL -> "53300";
+                        default -> "XX000";
+                    };
             out.bytes(("SERROR\0C" + code + "\0Memulated " + reply.result() + "\0\0")
-                    .getBytes(StandardCharsets.ISO_8859_1)).end('E');
+                            .getBytes(StandardCharsets.ISO_8859_1))
+                    .end('E');
         }
         return out.int8('I').end('Z').toBytes();
     }
--- a/src/main/java/crankwick/simhost/Host.java
+++ b/src/main/java/crankwick/simhost/Host.java
@@ -1,12 +1,12 @@
 package crankwick.simhost;
 
 import crankwick.Router;
+import crankwick.RouterApi;
 import crankwick.RouterApi.ListKind;
 import crankwick.RouterApi.Report;
 import crankwick.RouterApi.Result;
 import crankwick.RouterApi.Role;
 import crankwick.RouterApi.Standing;
-import crankwick.RouterApi;
 import java.io.IOException;
 import java.io.InputStream;
 import java.io.OutputStream;
@@ -17,12 +17,34 @@
 
 /** Turns batches of wire lines into events for the routers that it hosts, and their actions into replies. */
 final class Host {
-    private static final Map<String, Result> RESULTS = Map.of("Ok", Result.OK, "Failed", Result.ERROR,
-            "QueueFull", Result.FULL, "TimedOut", Result.TIMEOUT, "ConnectError", Result.UNREACHABLE,
-            "ResetByPeer", Result.RESET, "Canceled", Result.CANCELLED, "Ignored", Result.NOT_SENT,
-            "Miss", Result.MISS);
-    private static final Map<String, ListKind> LIST_KINDS = Map.of("update", ListKind.CHANGES,
-            "replace", ListKind.FULL, "restored", ListKind.RESTORED, "unavailable", ListKind.UNAVAILABLE);
+    private static final Map<String, Result> RESULTS = Map.of(
+            "Ok",
+            Result.OK,
+            "Failed",
+            Result.ERROR,
+            "QueueFull",
+            Result.FULL,
+            "TimedOut",
+            Result.TIMEOUT,
+            "ConnectError",
+            Result.UNREACHABLE,
+            "ResetByPeer",
+            Result.RESET,
+            "Canceled",
+            Result.CANCELLED,
+            "Ignored",
+            Result.NOT_SENT,
+            "Miss",
+            Result.MISS);
+    private static final Map<String, ListKind> LIST_KINDS = Map.of(
+            "update",
+            ListKind.CHANGES,
+            "replace",
+            ListKind.FULL,
+            "restored",
+            ListKind.RESTORED,
+            "unavailable",
+            ListKind.UNAVAILABLE);
     private static final Map<String, Standing> STANDINGS =
             Map.of("live", Standing.LIVE, "quiescing", Standing.DRAINING, "dead", Standing.GONE);
     private static final Role[] ROLES = {Role.UNKNOWN, Role.PRIMARY, Role.REPLICA, Role.UNKNOWN};
@@ -102,7 +124,7 @@
             case "timeout_fired" -> tell(new RouterApi.Timer(in.integer()));
             case "expired" -> tell(new RouterApi.Gone(in.hex()));
             case "established" -> tell(new RouterApi.Started(in.hex()));
-            case "whisper" -> { }
+            case "whisper" -> {}
             default -> throw in.malformed("unknown message");
         }
     }
@@ -189,7 +211,8 @@
         in.word();
         long expires = in.decimal(3, 0);
         long session = in.atEnd() ? RouterApi.NONE : in.decimal(0, RouterApi.NONE);
-        if (current != null && (cls < 0 || cls >= current.codec.settings.classes().size())) {
+        if (current != null
+                && (cls < 0 || cls >= current.codec.settings.classes().size())) {
             throw in.malformed("unknown class");
         }
         return new RouterApi.Request(xid, cls, group, session, tokenAge, expires);
@@ -203,10 +226,9 @@
         long duration = in.decimal(3, 0);
         String server = in.word();
         int copy = (int) in.integer();
-        long position = note >> 2 == 0 || current == null ? RouterApi.NONE
-                : current.codec.zero + (note >> 2) * 1000;
-        return new RouterApi.Outcome(xid, copy, over, result, duration, server, ROLES[(int) (note & 3)],
-                position, report());
+        long position = note >> 2 == 0 || current == null ? RouterApi.NONE : current.codec.zero + (note >> 2) * 1000;
+        return new RouterApi.Outcome(
+                xid, copy, over, result, duration, server, ROLES[(int) (note & 3)], position, report());
     }
 
     private RouterApi.ProbeResult pong() {
@@ -244,7 +266,7 @@
                 case "backlog" -> backlog = row[i] / 1e6;
                 case "utilization" -> utilization = row[i] / 1e6;
                 case "outstanding" -> inFlight = row[i] / 1e6;
-                default -> { }
+                default -> {}
             }
         }
         return new Report(position, role, backlog, utilization, inFlight);
--- a/src/main/java/crankwick/simhost/SettingsCodec.java
+++ b/src/main/java/crankwick/simhost/SettingsCodec.java
@@ -5,13 +5,13 @@
 import com.google.gson.JsonObject;
 import com.google.gson.JsonParseException;
 import com.google.gson.JsonParser;
+import crankwick.RouterApi;
 import crankwick.RouterApi.ListRole;
 import crankwick.RouterApi.Need;
 import crankwick.RouterApi.Repeat;
 import crankwick.RouterApi.RequestClass;
 import crankwick.RouterApi.Scope;
 import crankwick.RouterApi.WhenBehind;
-import crankwick.RouterApi;
 import java.math.BigDecimal;
 import java.math.RoundingMode;
 import java.util.ArrayList;
@@ -20,14 +20,22 @@
 
 /** Translates the wire's settings; values that are not named there are ignored. */
 public final class SettingsCodec {
-    private static final Map<String, Need> NEEDS = Map.of("write", Need.WRITE, "fresh", Need.FRESH,
-            "session", Need.SESSION, "bounded", Need.BOUNDED, "any", Need.ANY);
+    private static final Map<String, Need> NEEDS = Map.of(
+            "write",
+            Need.WRITE,
+            "fresh",
+            Need.FRESH,
+            "session",
+            Need.SESSION,
+            "bounded",
+            Need.BOUNDED,
+            "any",
+            Need.ANY);
     private static final Map<String, Repeat> REPEATS =
             Map.of("safe", Repeat.SAFE, "keyed", Repeat.KEYED, "unsafe", Repeat.UNSAFE);
-    private static final Map<String, Scope> SCOPES =
-            Map.of("all", Scope.ALL, "zone", Scope.ZONE, "cell", Scope.GROUP);
-    private static final Map<String, WhenBehind> BEHIND = Map.of("off", WhenBehind.SERVE,
-            "refuse", WhenBehind.REFUSE, "wait", WhenBehind.WAIT);
+    private static final Map<String, Scope> SCOPES = Map.of("all", Scope.ALL, "zone", Scope.ZONE, "cell", Scope.GROUP);
+    private static final Map<String, WhenBehind> BEHIND =
+            Map.of("off", WhenBehind.SERVE, "refuse", WhenBehind.REFUSE, "wait", WhenBehind.WAIT);
     private static final Map<String, ListRole> LIST_ROLES =
             Map.of("off", ListRole.OFF, "start", ListRole.START, "late", ListRole.LATE);
 
@@ -52,12 +60,17 @@
             }
         }
         settings = new RouterApi.Settings(
-                (int) number(root, "balancers"), (int) number(root, "my-zone"),
-                "ask".equals(word(root, "discovery")), flag(family, "family-info.stamps"),
+                (int) number(root, "balancers"),
+                (int) number(root, "my-zone"),
+                "ask".equals(word(root, "discovery")),
+                flag(family, "family-info.stamps"),
                 "carried".equals(word(family, "family-info.session-marks")),
                 choice(BEHIND, family, "family-info.when-behind"),
-                choice(LIST_ROLES, family, "family-info.shows-role"), rules(object("rules")),
-                limits(object("bounds")), prices(object("charges")), classes(family));
+                choice(LIST_ROLES, family, "family-info.shows-role"),
+                rules(object("rules")),
+                limits(object("bounds")),
+                prices(object("charges")),
+                classes(family));
     }
 
     /** The classes' names, in order; only a real proxy needs them. */
@@ -102,30 +115,44 @@
             }
             String at = "classes[" + i + "].";
             long bound = micros(bounds.get(i), "family-info.oldest-data-ms[" + i + "]");
-            classes.add(new RequestClass(need, bound, choice(REPEATS, c, at + "repeat"),
-                    choice(SCOPES, c, at + "dedup-scope"), micros(c, at + "key-ttl-ms"),
-                    micros(c, at + "slo-ms"), micros(c, at + "deadline-ms"), number(c, at + "worth"),
+            classes.add(new RequestClass(
+                    need,
+                    bound,
+                    choice(REPEATS, c, at + "repeat"),
+                    choice(SCOPES, c, at + "dedup-scope"),
+                    micros(c, at + "key-ttl-ms"),
+                    micros(c, at + "slo-ms"),
+                    micros(c, at + "deadline-ms"),
+                    number(c, at + "worth"),
                     number(c, at + "late-value")));
         }
         return classes;
     }
 
     private static RouterApi.Rules rules(JsonObject o) {
-        return new RouterApi.Rules(micros(o, "rules.answer-slack-ms"), micros(o, "rules.drain-grace-ms"),
+        return new RouterApi.Rules(
+                micros(o, "rules.answer-slack-ms"),
+                micros(o, "rules.drain-grace-ms"),
                 o.has("dropped-stay-open") && flag(o, "rules.dropped-stay-open"),
-                number(o, "rules.start-capacity"), micros(o, "rules.ramp-time-ms"),
-                number(o, "rules.fall-multiple"), micros(o, "rules.tip-after-ms"));
+                number(o, "rules.start-capacity"),
+                micros(o, "rules.ramp-time-ms"),
+                number(o, "rules.fall-multiple"),
+                micros(o, "rules.tip-after-ms"));
     }
 
     private static RouterApi.Limits limits(JsonObject o) {
-        return new RouterApi.Limits(flag(o, "bounds.probes"), flag(o, "bounds.may-cancel"),
-                flag(o, "bounds.retry-after"), micros(o, "bounds.max-retry-after-ms"),
-                (int) number(o, "bounds.max-attempts"), micros(o, "bounds.connect-timeout-ms"));
+        return new RouterApi.Limits(
+                flag(o, "bounds.probes"),
+                flag(o, "bounds.may-cancel"),
+                flag(o, "bounds.retry-after"),
+                micros(o, "bounds.max-retry-after-ms"),
+                (int) number(o, "bounds.max-attempts"),
+                micros(o, "bounds.connect-timeout-ms"));
     }
 
     private static RouterApi.Prices prices(JsonObject o) {
-        return new RouterApi.Prices(number(o, "charges.cross-zone"), number(o, "charges.probe"),
-                number(o, "charges.waste"));
+        return new RouterApi.Prices(
+                number(o, "charges.cross-zone"), number(o, "charges.probe"), number(o, "charges.waste"));
     }
 
     private JsonObject object(String name) {
--- a/src/main/java/crankwick/simhost/Simhost.java
+++ b/src/main/java/crankwick/simhost/Simhost.java
@@ -7,8 +7,7 @@
 
 /** Hosts routers on the simulator's wire: standard input to standard output. */
 public final class Simhost {
-    private Simhost() {
-    }
+    private Simhost() {}
 
     /** Returns at the end of input; exits 2 on malformed input. */
     public static void run() throws IOException {
--- a/src/main/java/crankwick/statement/Statement.java
+++ b/src/main/java/crankwick/statement/Statement.java
@@ -12,8 +12,17 @@
  * @param after the position to be seen, a Unix time in milliseconds, or -1
  * @param session the first quoted literal, or null
  */
-public record Statement(String id, String cls, long waitMs, String key, long cluster, long after,
-        String session, String text, int waitFrom, int waitTo) {
+public record Statement(
+        String id,
+        String cls,
+        long waitMs,
+        String key,
+        long cluster,
+        long after,
+        String session,
+        String text,
+        int waitFrom,
+        int waitTo) {
     private static final String OPEN = "/*";
     private static final String CLOSE = "*/";
     private static final int MAX_WORD = 128;
@@ -51,7 +60,7 @@
                         waitFrom = text.indexOf(value, equals + 1);
                         waitTo = waitFrom + value.length();
                     }
-                    default -> { }
+                    default -> {}
                 }
             }
             at = end + 1;
@@ -60,8 +69,7 @@
         require(cls != null, "c is missing");
         require(wait > 0, "d is missing");
         require(cluster >= 0, "cluster is missing");
-        return new Statement(id, cls, wait, key, cluster, after, literal(text, close), text, waitFrom,
-                waitTo);
+        return new Statement(id, cls, wait, key, cluster, after, literal(text, close), text, waitFrom, waitTo);
     }
 
     /** The statement as it goes to a database that should wait so many milliseconds. */
--- a/src/main/java/crankwick/tds/Tds.java
+++ b/src/main/java/crankwick/tds/Tds.java
@@ -6,6 +6,7 @@
     static final int PACKET_SIZE = 4096;
     /** A packet's status: the message's last; the message is to be ignored. */
     static final int LAST = 1;
+
     static final int IGNORE = 2;
 
     static final int SQL_BATCH = 0x01;
@@ -40,11 +41,13 @@
 
     /** What a database says: not the primary; too far behind; turned away; too many connections. */
     static final int READ_ONLY = 3906;
+
     static final int BEHIND = 50072;
     static final int TURNED_AWAY = 10928;
     static final int TOO_MANY = 17809;
     /** What a front says; refusals are 501xx, failures 502xx, what can't be read is 50300. */
     static final int LOGIN_FAILED = 18456;
+
     static final int REFUSED_GIVEN_UP = 50101;
     static final int REFUSED_OVER_RATE = 50102;
     static final int REFUSED_OVER_OUTSTANDING = 50103;
@@ -59,10 +62,7 @@
     static final int BROKEN = 50400;
 
     /** PRELOGIN without encryption: options VERSION and ENCRYPTION (not supported). */
-    static final byte[] PRELOGIN_BODY = {
-        0, 0, 11, 0, 6, 1, 0, 17, 0, 1, (byte) 0xFF, 16, 0, 0, 0, 0, 0, 2
-    };
+    static final byte[] PRELOGIN_BODY = {0, 0, 11, 0, 6, 1, 0, 17, 0, 1, (byte) 0xFF, 16, 0, 0, 0, 0, 0, 2};
 
-    private Tds() {
-    }
+    private Tds() {}
 }
--- a/src/main/java/crankwick/tds/TdsDatabaseCodec.java
+++ b/src/main/java/crankwick/tds/TdsDatabaseCodec.java
@@ -17,6 +17,7 @@
     private static final String USER = "crankwick";
     /** LOGIN7's fixed part; pairs of offset and length stand in it up to 72, the second is the user's. */
     private static final int LOGIN_FIXED = 94;
+
     private static final int LOGIN_PAIRS = 9;
     private static final int LOGIN_PAIRS_END = 72;
     private static final int FATAL_SEVERITY = 20;
@@ -26,6 +27,7 @@
     private static final int RETURN_STATUS = 0x79;
     /** What stands for the length of a value in chunks. */
     private static final long NULL = -1;
+
     private static final long UNKNOWN_LENGTH = -2;
 
     @Override
@@ -34,7 +36,12 @@
     }
 
     /** How far an answer has come. */
-    private enum Stage { NOTHING, DESCRIBED, ROW, DONE }
+    private enum Stage {
+        NOTHING,
+        DESCRIBED,
+        ROW,
+        DONE
+    }
 
     private static final class DatabaseDecoder extends TdsDecoder {
         private boolean preloggedIn;
@@ -78,8 +85,7 @@
             }
             require(error != 0 || rowSeen != probe, "an answer without its row");
             Result result = error == 0 ? Result.OK : result(error);
-            var answer = new DatabaseMessage.Answered(result, role, position, report, value,
-                    fatal || !greeted);
+            var answer = new DatabaseMessage.Answered(result, role, position, report, value, fatal || !greeted);
             clear();
             emitLast(answer);
         }
@@ -132,7 +138,7 @@
                     case "mode" -> role = ReportCodec.role(content);
                     case "wal_time" -> position = ReportCodec.position(content);
                     case "stats" -> report = ReportCodec.parse(content);
-                    default -> { }
+                    default -> {}
                 }
             }
         }
@@ -197,8 +203,16 @@
     /** LOGIN7 with a user and no more. */
     private static byte[] login() {
         int end = LOGIN_FIXED + 2 * USER.length();
-        TdsWriter out = new TdsWriter().int32(end).int32(Tds.VERSION).int32(Tds.PACKET_SIZE)
-                .int32(0).int32(0).int32(0).int32(0).int32(0).int32(0);
+        TdsWriter out = new TdsWriter()
+                .int32(end)
+                .int32(Tds.VERSION)
+                .int32(Tds.PACKET_SIZE)
+                .int32(0)
+                .int32(0)
+                .int32(0)
+                .int32(0)
+                .int32(0)
+                .int32(0);
         for (int pair = 0; pair < LOGIN_PAIRS; pair++) {
             out.int16(pair <= 1 ? LOGIN_FIXED : end).int16(pair == 1 ? USER.length() : 0);
         }
@@ -212,7 +226,13 @@
         }
         String text = value instanceof DatabaseCommand.Run run ? run.text() : Tds.ASK_REPORT;
         // ALL_HEADERS with the transaction descriptor that every batch must have: no transaction.
-        return new TdsWriter().int32(22).int32(18).int16(2).int64(0).int32(1).text(text)
+        return new TdsWriter()
+                .int32(22)
+                .int32(18)
+                .int16(2)
+                .int64(0)
+                .int32(1)
+                .text(text)
                 .packets(Tds.SQL_BATCH);
     }
 }
--- a/src/main/java/crankwick/tds/TdsFrontCodec.java
+++ b/src/main/java/crankwick/tds/TdsFrontCodec.java
@@ -61,18 +61,24 @@
         } else if (value instanceof FrontReply.Unreadable u) {
             error(out, Tds.UNREADABLE, u.fault());
         } else if (value instanceof FrontReply.Fatal f) {
-            int number = switch (f.cause()) {
-                case TOO_MANY -> Tds.TOO_MANY;
-                case UNKNOWN_TEAM -> Tds.LOGIN_FAILED;
-                case BROKEN -> Tds.BROKEN;
-            };
+            int number =
+                    switch (f.cause()) {
+                        case TOO_MANY -> Tds.TOO_MANY;
+                        case UNKNOWN_TEAM -> Tds.LOGIN_FAILED;
+                        case BROKEN -> Tds.BROKEN;
+                    };
             out.message(Tds.ERROR, number, FATAL_SEVERITY, f.fault()).done(Tds.DONE_ERROR, 0);
         } else {
             String size = Integer.toString(Tds.PACKET_SIZE);
             out.token(Tds.ENVCHANGE, new TdsWriter().int8(1).shortText("core").shortText(""));
             out.token(Tds.ENVCHANGE, new TdsWriter().int8(4).shortText(size).shortText(size));
-            out.token(Tds.LOGINACK, new TdsWriter().int8(1).int32(Integer.reverseBytes(Tds.VERSION))
-                    .shortText("crankwick").int32(0));
+            out.token(
+                    Tds.LOGINACK,
+                    new TdsWriter()
+                            .int8(1)
+                            .int32(Integer.reverseBytes(Tds.VERSION))
+                            .shortText("crankwick")
+                            .int32(0));
             out.done(0, 0);
         }
         return out.packets(Tds.RESPONSE);
@@ -84,7 +90,12 @@
                 long millis = Math.floorDiv(served.position() + 999, 1_000L);
                 out.message(Tds.INFO, Tds.FACT, 0, "wal_time=" + millis);
             }
-            out.int8(Tds.COLMETADATA).int16(1).int32(0).int16(1).int8(Tds.VARBINARY).int16(Tds.MAX)
+            out.int8(Tds.COLMETADATA)
+                    .int16(1)
+                    .int32(0)
+                    .int16(1)
+                    .int8(Tds.VARBINARY)
+                    .int16(Tds.MAX)
                     .shortText("val");
             out.int8(Tds.ROW);
             value(out, served.value());
@@ -93,21 +104,27 @@
             if (refused.retryAfter() > 0) {
                 out.message(Tds.INFO, Tds.FACT, 0, "retry_after=" + (refused.retryAfter() + 999) / 1_000);
             }
-            error(out, switch (refused.reason()) {
-                case OVER_RATE -> Tds.REFUSED_OVER_RATE;
-                case OVER_OUTSTANDING -> Tds.REFUSED_OVER_OUTSTANDING;
-                case NO_PRIMARY -> Tds.REFUSED_NO_PRIMARY;
-                case OVER_KEYS -> Tds.REFUSED_OVER_KEYS;
-                default -> Tds.REFUSED_GIVEN_UP;
-            }, "refused: " + refused.reason());
+            error(
+                    out,
+                    switch (refused.reason()) {
+                        case OVER_RATE -> Tds.REFUSED_OVER_RATE;
+                        case OVER_OUTSTANDING -> Tds.REFUSED_OVER_OUTSTANDING;
+                        case NO_PRIMARY -> Tds.REFUSED_NO_PRIMARY;
+                        case OVER_KEYS -> Tds.REFUSED_OVER_KEYS;
+                        default -> Tds.REFUSED_GIVEN_UP;
+                    },
+                    "refused: " + refused.reason());
         } else if (reply instanceof Reply.Failed failed) {
-            error(out, switch (failed.reason()) {
-                case CLASS_NOT_ALLOWED -> Tds.FAILED_CLASS;
-                case GIVEN_UP -> Tds.FAILED_GIVEN_UP;
-                case ID_IN_USE -> Tds.FAILED_ID_IN_USE;
-                case KEY_IN_DOUBT -> Tds.FAILED_KEY_IN_DOUBT;
-                default -> Tds.FAILED_NO_OUTCOME;
-            }, "failed: " + failed.reason());
+            error(
+                    out,
+                    switch (failed.reason()) {
+                        case CLASS_NOT_ALLOWED -> Tds.FAILED_CLASS;
+                        case GIVEN_UP -> Tds.FAILED_GIVEN_UP;
+                        case ID_IN_USE -> Tds.FAILED_ID_IN_USE;
+                        case KEY_IN_DOUBT -> Tds.FAILED_KEY_IN_DOUBT;
+                        default -> Tds.FAILED_NO_OUTCOME;
+                    },
+                    "failed: " + failed.reason());
         }
     }
 
--- a/src/main/java/crankwick/tds/TdsMemberCodec.java
+++ b/src/main/java/crankwick/tds/TdsMemberCodec.java
@@ -30,19 +30,26 @@
         out.message(Tds.INFO, Tds.FACT, 0, "stats=" + reply.stats());
         if (reply.result() == Result.OK && !reply.probe()) {
             byte[] row = reply.value().getBytes(StandardCharsets.ISO_8859_1);
-            out.int8(Tds.COLMETADATA).int16(1).int32(0).int16(1).int8(Tds.VARBINARY).int16(Tds.MAX)
+            out.int8(Tds.COLMETADATA)
+                    .int16(1)
+                    .int32(0)
+                    .int16(1)
+                    .int8(Tds.VARBINARY)
+                    .int16(Tds.MAX)
                     .shortText("val");
             out.int8(Tds.ROW).int64(row.length).int32(row.length).bytes(row).int32(0);
             out.done(Tds.DONE_COUNT, 1);
         } else if (reply.result() == Result.OK) {
             out.done(0, 0);
         } else {
-            int number = switch (reply.result()) {
-                case MISS -> reply.write() ? Tds.READ_ONLY : Tds.BEHIND;
-                case FULL -> Tds.TURNED_AWAY;
-                default -> ERROR_NUMBER;
-            };
-            out.message(Tds.ERROR, number, SEVERITY, "emulated " + reply.result()).done(Tds.DONE_ERROR, 0);
+            int number =
+                    switch (reply.result()) {
+                        case MISS -> reply.write() ? Tds.READ_ONLY : Tds.BEHIND;
+                        case FULL -> Tds.TURNED_AWAY;
+                        default -> ERROR_NUMBER;
+                    };
+            out.message(Tds.ERROR, number, SEVERITY, "emulated " + reply.result())
+                    .done(Tds.DONE_ERROR, 0);
         }
         return out.packets(Tds.RESPONSE);
     }
--- a/src/main/java/crankwick/tds/TdsWriter.java
+++ b/src/main/java/crankwick/tds/TdsWriter.java
@@ -47,8 +47,17 @@
 
     /** ERROR or INFO. */
     TdsWriter message(int token, int number, int severity, String text) {
-        return token(token, new TdsWriter().int32(number).int8(1).int8(severity).int16(text.length())
-                .text(text).shortText("crankwick").shortText("").int32(1));
+        return token(
+                token,
+                new TdsWriter()
+                        .int32(number)
+                        .int8(1)
+                        .int8(severity)
+                        .int16(text.length())
+                        .text(text)
+                        .shortText("crankwick")
+                        .shortText("")
+                        .int32(1));
     }
 
     /** DONE. */
--- a/src/test/java/crankwick/Example.java
+++ b/src/test/java/crankwick/Example.java
@@ -22,19 +22,28 @@
 
 /** How a gateway embeds the router; the README shows the body of {@link #run}. */
 final class Example {
-    private Example() {
-    }
+    private Example() {}
 
     static void run(PrintStream out) {
-        Settings settings = new Settings(1, 0, false, true, false, WhenBehind.SERVE, ListRole.OFF,
+        Settings settings = new Settings(
+                1,
+                0,
+                false,
+                true,
+                false,
+                WhenBehind.SERVE,
+                ListRole.OFF,
                 new Rules(20_000, 500_000, false, 0.2, 18_000_000, 3, 1_500_000),
-                new Limits(true, true, true, 500_000, 8, 250_000), new Prices(0, 0.02, 0.05),
+                new Limits(true, true, true, 500_000, 8, 250_000),
+                new Prices(0, 0.02, 0.05),
                 List.of(new RequestClass(Need.ANY, 0, Repeat.SAFE, Scope.ALL, 0, 400_000, 1_000_000, 1, 0)));
         Router router = new Router(settings, 42);
         Actions actions = new PrintingActions(out);
         long now = 1_000_000;
-        router.handle(now, new Membership(ListKind.FULL,
-                List.of(new Member("db-1", 0, 7, Role.UNKNOWN, Standing.LIVE, 0))), actions);
+        router.handle(
+                now,
+                new Membership(ListKind.FULL, List.of(new Member("db-1", 0, 7, Role.UNKNOWN, Standing.LIVE, 0))),
+                actions);
         router.handle(now, new Request(1, 0, 7, RouterApi.NONE, RouterApi.NONE, now + 900_000), actions);
     }
 
@@ -55,27 +64,21 @@
         }
 
         @Override
-        public void probe(String server) {
-        }
+        public void probe(String server) {}
 
         @Override
-        public void cancel(long id, int attempt) {
-        }
+        public void cancel(long id, int attempt) {}
 
         @Override
-        public void arm(long fromNow, long ref) {
-        }
+        public void arm(long fromNow, long ref) {}
 
         @Override
-        public void watch() {
-        }
+        public void watch() {}
 
         @Override
-        public void fetch() {
-        }
+        public void fetch() {}
 
         @Override
-        public void log(String line) {
-        }
+        public void log(String line) {}
     }
 }
--- a/src/test/java/crankwick/ManyGatewaysTest.java
+++ b/src/test/java/crankwick/ManyGatewaysTest.java
@@ -108,8 +108,8 @@
             rig.report("r2", Role.REPLICA, rig.now, load, load);
             long read = rig.request(Rig.ANY);
             if (rig.sentTo(read) != null) {
-                rig.tell(new RouterApi.Outcome(read, 0, true, Result.OK, 4_000 * MS, rig.sentTo(read),
-                        Role.REPLICA, rig.now, null));
+                rig.tell(new RouterApi.Outcome(
+                        read, 0, true, Result.OK, 4_000 * MS, rig.sentTo(read), Role.REPLICA, rig.now, null));
             }
         }
         rig.probes = 0;
@@ -176,8 +176,16 @@
             rig.report(members[i % 30], Role.REPLICA, rig.now, Double.NaN, Double.NaN);
             read = rig.request(Rig.ANY);
             if (rig.sentTo(read) != null) {
-                rig.tell(new RouterApi.Outcome(read, 0, true, Result.OK, i < 60 ? 30 * MS : duration,
-                        rig.sentTo(read), Role.REPLICA, rig.now, null));
+                rig.tell(new RouterApi.Outcome(
+                        read,
+                        0,
+                        true,
+                        Result.OK,
+                        i < 60 ? 30 * MS : duration,
+                        rig.sentTo(read),
+                        Role.REPLICA,
+                        rig.now,
+                        null));
             }
             rig.advance(20 * MS);
         }
@@ -456,7 +464,8 @@
     @Test
     void groupWithOnlyColdMembersIsServedByTheYardstickOfTheOthers() {
         Rig rig = known(1);
-        rig.tell(new RouterApi.Membership(RouterApi.ListKind.CHANGES,
+        rig.tell(new RouterApi.Membership(
+                RouterApi.ListKind.CHANGES,
                 List.of(new RouterApi.Member("c1", 0, 2, Role.UNKNOWN, Standing.LIVE, rig.now))));
         int sent = 0;
         List<Long> waiting = new ArrayList<>();
@@ -466,7 +475,8 @@
             rig.report("r2", Role.REPLICA, rig.now);
             rig.ok(rig.request(Rig.ANY));
             waiting.add(rig.requestTo(2, Rig.ANY));
-            List<Long> served = waiting.stream().filter(id -> rig.sentTo(id) != null).toList();
+            List<Long> served =
+                    waiting.stream().filter(id -> rig.sentTo(id) != null).toList();
             waiting.removeAll(served);
             served.forEach(rig::ok);
             sent += served.size();
