--- a/src/test/java/crankwick/ReadPathTest.java
+++ b/src/test/java/crankwick/ReadPathTest.java
@@ -113,8 +113,11 @@
             rig.advance(25 * MS);
             for (String server : new String[] {"p", "r1", "r2"}) {
                 if (rig.actions.removeIf(a -> a.equals("probe " + server))) {
-                    rig.tell(new RouterApi.ProbeResult(server, Result.OK, MS, new RouterApi.Report(rig.now,
-                            server.equals("p") ? Role.PRIMARY : Role.REPLICA, 0, 0, 0)));
+                    rig.tell(new RouterApi.ProbeResult(
+                            server,
+                            Result.OK,
+                            MS,
+                            new RouterApi.Report(rig.now, server.equals("p") ? Role.PRIMARY : Role.REPLICA, 0, 0, 0)));
                 }
             }
         }
@@ -160,8 +163,8 @@
             rig.advance(25 * MS);
             if (rig.actions.removeIf(a -> a.equals("probe r1"))) {
                 polls++;
-                rig.tell(new RouterApi.ProbeResult("r1", Result.OK, MS,
-                        new RouterApi.Report(rig.now - 5_000 * MS, Role.REPLICA, 0, 0, 0)));
+                rig.tell(new RouterApi.ProbeResult(
+                        "r1", Result.OK, MS, new RouterApi.Report(rig.now - 5_000 * MS, Role.REPLICA, 0, 0, 0)));
             }
         }
         assertTrue(polls >= 1 && polls <= 3, "polls in 400 ms: " + polls);
@@ -175,9 +178,13 @@
         for (int i = 0; i < 40; i++) {
             rig.request(Rig.OWN, 5, RouterApi.NONE);
         }
-        long before = rig.actions.stream().filter(a -> a.endsWith(" r1") && a.startsWith("send")).count();
+        long before = rig.actions.stream()
+                .filter(a -> a.endsWith(" r1") && a.startsWith("send"))
+                .count();
         rig.report("r1", Role.REPLICA, commit);
-        long after = rig.actions.stream().filter(a -> a.endsWith(" r1") && a.startsWith("send")).count();
+        long after = rig.actions.stream()
+                .filter(a -> a.endsWith(" r1") && a.startsWith("send"))
+                .count();
         assertTrue(after - before > 0 && after - before < 20, "released " + (after - before));
     }
 
--- a/src/test/java/crankwick/Rig.java
+++ b/src/test/java/crankwick/Rig.java
@@ -55,8 +55,7 @@
     }
 
     void change(String server, RouterApi.Standing standing, long startedAt) {
-        tell(new RouterApi.Membership(RouterApi.ListKind.CHANGES,
-                List.of(member(server, standing, startedAt))));
+        tell(new RouterApi.Membership(RouterApi.ListKind.CHANGES, List.of(member(server, standing, startedAt))));
     }
 
     /** Tells a report, as the answer to a probe. */
@@ -66,7 +65,10 @@
 
     void report(String server, RouterApi.Role role, long position, double backlog, double utilization) {
         actions.removeIf(a -> a.equals("probe " + server));
-        tell(new RouterApi.ProbeResult(server, RouterApi.Result.OK, 2 * MS,
+        tell(new RouterApi.ProbeResult(
+                server,
+                RouterApi.Result.OK,
+                2 * MS,
                 new RouterApi.Report(position, role, backlog, utilization, backlog)));
     }
 
@@ -137,7 +139,8 @@
     }
 
     int attempts(long id) {
-        return (int) actions.stream().filter(a -> a.startsWith("send " + id + " ")).count();
+        return (int)
+                actions.stream().filter(a -> a.startsWith("send " + id + " ")).count();
     }
 
     boolean refused(long id) {
@@ -153,8 +156,16 @@
     }
 
     void outcome(long id, RouterApi.Result result, RouterApi.Role role, long position) {
-        tell(new RouterApi.Outcome(id, attempts(id) - 1, result == RouterApi.Result.OK, result, 20 * MS,
-                sentTo(id), role, position, null));
+        tell(new RouterApi.Outcome(
+                id,
+                attempts(id) - 1,
+                result == RouterApi.Result.OK,
+                result,
+                20 * MS,
+                sentTo(id),
+                role,
+                position,
+                null));
     }
 
     void ok(long id) {
@@ -229,13 +240,19 @@
         RouterApi.Scope scope = RouterApi.Scope.GROUP;
 
         RouterApi.Settings settings() {
-            return new RouterApi.Settings(instances, 0, asksDiscovery, answersCarryPosition, tokensCarried,
-                    whenBehind, RouterApi.ListRole.OFF,
-                    new RouterApi.Rules(20 * MS, 250 * MS, onlyDrainingBinds, 0.15, 18_000 * MS, 3,
-                            1_000 * MS),
+            return new RouterApi.Settings(
+                    instances,
+                    0,
+                    asksDiscovery,
+                    answersCarryPosition,
+                    tokensCarried,
+                    whenBehind,
+                    RouterApi.ListRole.OFF,
+                    new RouterApi.Rules(20 * MS, 250 * MS, onlyDrainingBinds, 0.15, 18_000 * MS, 3, 1_000 * MS),
                     new RouterApi.Limits(probes, cancels, true, 1_000 * MS, 8, 250 * MS),
                     new RouterApi.Prices(0.02, probePrice, 0.03),
-                    List.of(cls(RouterApi.Need.BOUNDED, 1_500 * MS, RouterApi.Repeat.SAFE, 0),
+                    List.of(
+                            cls(RouterApi.Need.BOUNDED, 1_500 * MS, RouterApi.Repeat.SAFE, 0),
                             cls(RouterApi.Need.SESSION, 0, RouterApi.Repeat.SAFE, 0),
                             cls(RouterApi.Need.ANY, 0, RouterApi.Repeat.SAFE, 0),
                             cls(RouterApi.Need.FRESH, 0, RouterApi.Repeat.SAFE, 0),
@@ -243,10 +260,8 @@
                             cls(RouterApi.Need.WRITE, 0, RouterApi.Repeat.KEYED, 0.3)));
         }
 
-        private RouterApi.RequestClass cls(RouterApi.Need need, long bound, RouterApi.Repeat repeat,
-                double late) {
-            return new RouterApi.RequestClass(need, bound, repeat, scope, 5_000 * MS, 500 * MS, 2_000 * MS, 1,
-                    late);
+        private RouterApi.RequestClass cls(RouterApi.Need need, long bound, RouterApi.Repeat repeat, double late) {
+            return new RouterApi.RequestClass(need, bound, repeat, scope, 5_000 * MS, 500 * MS, 2_000 * MS, 1, late);
         }
     }
 }
--- a/src/test/java/crankwick/RulesTest.java
+++ b/src/test/java/crankwick/RulesTest.java
@@ -180,9 +180,20 @@
     void unusableSettingsNameTheField() {
         RouterApi.Rules rules = new RouterApi.Rules(-1, 0, false, 0.15, 0, 3, 0);
         RouterApi.Limits limits = new RouterApi.Limits(true, true, true, 0, 1, 0);
-        IllegalArgumentException e = assertThrows(IllegalArgumentException.class,
-                () -> new RouterApi.Settings(1, 0, false, false, false, RouterApi.WhenBehind.SERVE,
-                        RouterApi.ListRole.OFF, rules, limits, new RouterApi.Prices(0, 0, 0), List.of()));
+        IllegalArgumentException e = assertThrows(
+                IllegalArgumentException.class,
+                () -> new RouterApi.Settings(
+                        1,
+                        0,
+                        false,
+                        false,
+                        false,
+                        RouterApi.WhenBehind.SERVE,
+                        RouterApi.ListRole.OFF,
+                        rules,
+                        limits,
+                        new RouterApi.Prices(0, 0, 0),
+                        List.of()));
         assertTrue(e.getMessage().contains("rules.answerSlack"), e.getMessage());
     }
 
@@ -206,8 +217,8 @@
         for (int i = 0; i < 30; i++) {
             long id = rig.request(Rig.ANY);
             if (rig.sentTo(id) != null) {
-                rig.tell(new RouterApi.Outcome(id, 0, true, Result.OK, 450 * MS, "r1", Role.UNKNOWN,
-                        RouterApi.NONE, null));
+                rig.tell(new RouterApi.Outcome(
+                        id, 0, true, Result.OK, 450 * MS, "r1", Role.UNKNOWN, RouterApi.NONE, null));
             }
             rig.advance(1_000 * MS);
         }
--- a/src/test/java/crankwick/app/ClientsIT.java
+++ b/src/test/java/crankwick/app/ClientsIT.java
@@ -14,12 +14,22 @@
 public class ClientsIT extends OnBothWires {
     @Test(dataProvider = "wires")
     public void statementThatCantBeReadFailsAlone(Wire wire) throws Exception {
-        try (Deployment d = new Deployment(wire); Deployment.Client client = d.client()) {
-            List<String> hints = List.of("id=1,c=map-view,d=480", "id=1,c=map-view,cluster=0",
-                    "id=1,d=480,cluster=0", "c=map-view,d=480,cluster=0", "id=1,c=none,d=480,cluster=0",
-                    "id=1,c=map-view,d=x,cluster=0", "id=1,c=map-view,d=-5,cluster=0", "",
-                    "id=1,c=map-view,d=480,cluster=99999999999999999999", "id=1,c=reserve,d=480,cluster=0",
-                    "id=1,c=map-view,d=480,cluster=0,after=x", "id=,c=map-view,d=480,cluster=0", ",,=,");
+        try (Deployment d = new Deployment(wire);
+                Deployment.Client client = d.client()) {
+            List<String> hints = List.of(
+                    "id=1,c=map-view,d=480",
+                    "id=1,c=map-view,cluster=0",
+                    "id=1,d=480,cluster=0",
+                    "c=map-view,d=480,cluster=0",
+                    "id=1,c=none,d=480,cluster=0",
+                    "id=1,c=map-view,d=x,cluster=0",
+                    "id=1,c=map-view,d=-5,cluster=0",
+                    "",
+                    "id=1,c=map-view,d=480,cluster=99999999999999999999",
+                    "id=1,c=reserve,d=480,cluster=0",
+                    "id=1,c=map-view,d=480,cluster=0,after=x",
+                    "id=,c=map-view,d=480,cluster=0",
+                    ",,=,");
             for (String hint : hints) {
                 assertEquals(client.ask("/* " + hint + " */ SELECT 1").kind(), "FAILED", hint);
             }
@@ -33,7 +43,8 @@
 
     @Test(dataProvider = "wires")
     public void nonsenseEndsOnlyItsOwnConnection(Wire wire) throws Exception {
-        try (Deployment d = new Deployment(wire); Deployment.Client client = d.client()) {
+        try (Deployment d = new Deployment(wire);
+                Deployment.Client client = d.client()) {
             for (byte[] bytes : wire.nonsense()) {
                 for (boolean loggedIn : new boolean[] {false, true}) {
                     try (Socket socket = d.connect()) {
@@ -54,7 +65,8 @@
     /** Guards against connections held by who says nothing, stops midway, or goes on beyond all bounds. */
     @Test(dataProvider = "wires")
     public void whoDoesNotAskInTimeOrWithoutEndIsLetGo(Wire wire) throws Exception {
-        try (Deployment d = new Deployment(wire); Deployment.Client client = d.client()) {
+        try (Deployment d = new Deployment(wire);
+                Deployment.Client client = d.client()) {
             assertEquals(client.ask(statement("map-view", 1000, "")).kind(), "SERVED");
             List<Socket> silent = new ArrayList<>();
             for (int i = 0; i < 400; i++) {
@@ -86,7 +98,8 @@
     /** Guards against a reset that destroys the error, and against memory for whatever is said to come. */
     @Test(dataProvider = "wires")
     public void tooLargeACommandIsToldSoBehindWhatWasAskedBefore(Wire wire) throws Exception {
-        try (Deployment d = new Deployment(wire); Deployment.Client client = d.client()) {
+        try (Deployment d = new Deployment(wire);
+                Deployment.Client client = d.client()) {
             d.primary().delayMs = 300;
             client.send(statement("reserve", 3000, ""));
             String before = id();
@@ -101,15 +114,19 @@
     /** Guards against a client's commands being dropped because they are many. */
     @Test(dataProvider = "wires")
     public void hundredsOfCommandsAtOnceAreAllAnsweredInTurn(Wire wire) throws Exception {
-        try (Deployment d = new Deployment(wire); Deployment.Client client = d.client()) {
+        try (Deployment d = new Deployment(wire);
+                Deployment.Client client = d.client()) {
             int last = Integer.parseInt(id());
             for (int i = 0; i < 400; i++) {
                 client.send(i % 2 == 0 ? statement("map-view", 10_000, "") : "SELECT " + i);
             }
             for (int i = 0; i < 400; i++) {
                 Wire.Answer answer = client.answer();
-                assertTrue(i % 2 == 1 ? answer.kind().equals("FAILED") : answer.value() == null
-                        || answer.value().endsWith(":" + (last + 1 + i / 2)), i + " " + answer);
+                assertTrue(
+                        i % 2 == 1
+                                ? answer.kind().equals("FAILED")
+                                : answer.value() == null || answer.value().endsWith(":" + (last + 1 + i / 2)),
+                        i + " " + answer);
             }
             kept(d);
         }
@@ -118,7 +135,8 @@
     /** Guards against two attempts in flight under one id, whoever sends it. */
     @Test(dataProvider = "wires")
     public void idOfAnOpenRequestServesNobodyElse(Wire wire) throws Exception {
-        try (Deployment d = new Deployment(wire); Deployment.Client client = d.client();
+        try (Deployment d = new Deployment(wire);
+                Deployment.Client client = d.client();
                 Deployment.Client other = d.client()) {
             d.primary().delayMs = 400;
             String statement = statement("reserve", 3000, "");
@@ -142,7 +160,8 @@
 
     @Test(dataProvider = "wires")
     public void clientThatLeavesTakesNothingWithIt(Wire wire) throws Exception {
-        try (Deployment d = new Deployment(wire); Deployment.Client client = d.client()) {
+        try (Deployment d = new Deployment(wire);
+                Deployment.Client client = d.client()) {
             d.databases.forEach(database -> database.delayMs = 400);
             try (Deployment.Client leaver = d.client()) {
                 leaver.send(statement("reserve", 3000, ""));
@@ -156,8 +175,7 @@
     /** Guards against work begun for a client that has gone, on a connection that came up after it had. */
     @Test(dataProvider = "wires")
     public void nothingIsBegunForAClientThatHasGone(Wire wire) throws Exception {
-        try (Deployment d = new Deployment(wire, "connect-timeout-ms = 250.0",
-                "connect-timeout-ms = 9000.0")) {
+        try (Deployment d = new Deployment(wire, "connect-timeout-ms = 250.0", "connect-timeout-ms = 9000.0")) {
             d.databases.forEach(database -> database.greetMs = 1_000);
             for (String cls : List.of("reserve", "map-view")) {
                 try (Deployment.Client leaver = d.client()) {
@@ -177,7 +195,8 @@
     /** Guards against a request behind another after SIGTERM that wants more time than is left. */
     @Test(dataProvider = "wires")
     public void requestBehindAnotherAfterSigtermIsAnsweredBeforeTheEnd(Wire wire) throws Exception {
-        try (Deployment d = new Deployment(wire); Deployment.Client client = d.client()) {
+        try (Deployment d = new Deployment(wire);
+                Deployment.Client client = d.client()) {
             d.databases.forEach(database -> database.word = "SILENT");
             client.send(statement("reserve", 3000, ""));
             Thread.sleep(100);
@@ -196,7 +215,8 @@
     /** Planned restarts must lose nothing: what is out is answered, and only then does the program end. */
     @Test(dataProvider = "wires")
     public void sigtermLosesNothingThatWasTaken(Wire wire) throws Exception {
-        try (Deployment d = new Deployment(wire); Deployment.Client idle = d.client();
+        try (Deployment d = new Deployment(wire);
+                Deployment.Client idle = d.client();
                 Deployment.Client late = d.client()) {
             d.primary().delayMs = 1_200;
             List<Deployment.Client> clients = new ArrayList<>();
@@ -215,8 +235,9 @@
             }
             assertEquals(idle.answer().kind(), "CLOSED");
             String counters = d.end();
-            assertTrue(counters.contains("taken=4 sent=4")
-                    && counters.contains("served=4 refused={} failed={}"), counters);
+            assertTrue(
+                    counters.contains("taken=4 sent=4") && counters.contains("served=4 refused={} failed={}"),
+                    counters);
             kept(d);
         }
     }
--- a/src/test/java/crankwick/app/CommandsIT.java
+++ b/src/test/java/crankwick/app/CommandsIT.java
@@ -16,20 +16,23 @@
 
 /** The built jar's command line. */
 public class CommandsIT {
-    private record Run(int status, List<String> out, List<String> err) {
-    }
+    private record Run(int status, List<String> out, List<String> err) {}
 
     private static Run run(String... args) throws Exception {
         File out = File.createTempFile("out", null);
         File err = File.createTempFile("err", null);
         List<String> command = new ArrayList<>(List.of(
-                Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-XX:+UseSerialGC",
-                "-jar", "target/crankwick.jar"));
+                Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+                "-XX:+UseSerialGC",
+                "-jar",
+                "target/crankwick.jar"));
         command.addAll(List.of(args));
         ProcessBuilder builder = new ProcessBuilder(command).redirectOutput(out).redirectError(err);
         builder.environment().remove("ROUTER_CONFIG");
         int status = builder.start().waitFor();
-        Run run = new Run(status, Files.readAllLines(out.toPath(), StandardCharsets.UTF_8),
+        Run run = new Run(
+                status,
+                Files.readAllLines(out.toPath(), StandardCharsets.UTF_8),
                 Files.readAllLines(err.toPath(), StandardCharsets.UTF_8));
         Files.delete(out.toPath());
         Files.delete(err.toPath());
@@ -38,13 +41,19 @@
 
     @DataProvider
     public Object[][] misuse() {
-        return new Object[][] {{new String[] {}}, {new String[] {"nonsense"}}, {new String[] {"lab"}},
+        return new Object[][] {
+            {new String[] {}},
+            {new String[] {"nonsense"}},
+            {new String[] {"lab"}},
             {new String[] {"lab", "handover", "--groups", "0"}},
             {new String[] {"lab", "handover", "--seed", "x"}},
             {new String[] {"lab", "drains", "--proxies", "0"}},
-            {new String[] {"lab", "handover", "--fault", "nonsense"}}, {new String[] {"serve"}},
+            {new String[] {"lab", "handover", "--fault", "nonsense"}},
+            {new String[] {"serve"}},
             {new String[] {"emulate", "--wire", "x"}},
-            {new String[] {"serve", "--nonsense"}}, {new String[] {"serve", "a", "b"}}};
+            {new String[] {"serve", "--nonsense"}},
+            {new String[] {"serve", "a", "b"}}
+        };
     }
 
     @Test(dataProvider = "misuse")
@@ -57,8 +66,7 @@
 
     @DataProvider
     public Object[][] commands() {
-        return new Object[][] {{""}, {"serve"}, {"simhost"}, {"lab"}, {"lab handover"}, {"lab drains"},
-            {"emulate"}};
+        return new Object[][] {{""}, {"serve"}, {"simhost"}, {"lab"}, {"lab handover"}, {"lab drains"}, {"emulate"}};
     }
 
     @Test(dataProvider = "commands")
@@ -75,10 +83,20 @@
     public void theLabsLastLineIsItsFigures() throws Exception {
         Run run = run("lab", "handover", "--groups", "2", "--failovers", "10", "--seed", "5", "--json");
         assertEquals(run.status(), 0, run.toString());
-        JsonObject figures = JsonParser.parseString(run.out().get(run.out().size() - 1)).getAsJsonObject();
-        for (String name : List.of("failovers", "keys", "applied_twice", "served_not_applied",
-                "second_attempts", "answers_late", "answers_missing", "drain_violations", "reachable",
-                "served_of_reachable", "held_max")) {
+        JsonObject figures =
+                JsonParser.parseString(run.out().get(run.out().size() - 1)).getAsJsonObject();
+        for (String name : List.of(
+                "failovers",
+                "keys",
+                "applied_twice",
+                "served_not_applied",
+                "second_attempts",
+                "answers_late",
+                "answers_missing",
+                "drain_violations",
+                "reachable",
+                "served_of_reachable",
+                "held_max")) {
             assertTrue(figures.has(name), name);
         }
         assertTrue(figures.get("failovers").getAsLong() >= 10);
--- a/src/test/java/crankwick/app/CrossingsTest.java
+++ b/src/test/java/crankwick/app/CrossingsTest.java
@@ -15,7 +15,8 @@
     /** After SIGTERM the connection is idle for the loop, while its command has just been read. */
     @Test(timeOut = TEST_TIMEOUT_MS)
     public void commandReadAsTheProxyClosesIsAnswered() throws Exception {
-        try (HeldFront proxy = new HeldFront(10); HeldFront.Client client = proxy.new Client()) {
+        try (HeldFront proxy = new HeldFront(10);
+                HeldFront.Client client = proxy.new Client()) {
             HeldFront.Hold hold = proxy.hold();
             proxy.loop.execute(() -> proxy.front.close(proxy.clock.now() + WAIT_MS * HeldFront.MS));
             client.write("1", WAIT_MS);
@@ -28,7 +29,8 @@
     /** A connection has been idle for its whole time, and its command has just been read. */
     @Test(timeOut = TEST_TIMEOUT_MS)
     public void commandReadAsItsIdleConnectionEndsIsAnswered() throws Exception {
-        try (HeldFront proxy = new HeldFront(2); HeldFront.Client client = proxy.new Client();
+        try (HeldFront proxy = new HeldFront(2);
+                HeldFront.Client client = proxy.new Client();
                 HeldFront.Client other = proxy.new Client()) {
             HeldFront.Hold hold = proxy.hold();
             Thread.sleep(2_500);
@@ -42,7 +44,8 @@
     /** An idle connection is to make room for a new one, and its command has just been read. */
     @Test(timeOut = TEST_TIMEOUT_MS)
     public void commandReadAsItsConnectionMakesRoomIsAnswered() throws Exception {
-        try (HeldFront proxy = new HeldFront(1); HeldFront.Client client = proxy.new Client()) {
+        try (HeldFront proxy = new HeldFront(1);
+                HeldFront.Client client = proxy.new Client()) {
             HeldFront.Hold hold = proxy.hold();
             proxy.awaitReader();
             client.write("1", WAIT_MS);
@@ -54,7 +57,8 @@
     /** Half a command has been read when the proxy closes: its other half comes, and then its answer. */
     @Test(timeOut = TEST_TIMEOUT_MS)
     public void commandReadInHalfAsTheProxyClosesIsAnswered() throws Exception {
-        try (HeldFront proxy = new HeldFront(10); HeldFront.Client client = proxy.new Client()) {
+        try (HeldFront proxy = new HeldFront(10);
+                HeldFront.Client client = proxy.new Client()) {
             HeldFront.Hold hold = proxy.hold();
             client.begin("/* id=1,c=write,d=5000,k=k1,clus");
             proxy.awaitReader();
@@ -69,7 +73,8 @@
     /** The connection to the database is up; the client has closed, which the loop has not heard yet. */
     @Test(timeOut = TEST_TIMEOUT_MS)
     public void nothingIsWrittenForAClientThatHasJustClosed() throws Exception {
-        try (HeldFront proxy = new HeldFront(10); HeldFront.Client other = proxy.new Client()) {
+        try (HeldFront proxy = new HeldFront(10);
+                HeldFront.Client other = proxy.new Client()) {
             HeldFront.Client leaver = proxy.new Client();
             HeldFront.Hold beforeGreeting = greetedWhileHeld(proxy, leaver);
             HeldFront.Hold beforeClose = proxy.queueHold();
@@ -84,7 +89,8 @@
     /** The same of a client that cancels its command and stays. */
     @Test(timeOut = TEST_TIMEOUT_MS)
     public void nothingIsWrittenForACommandThatHasJustBeenCancelled() throws Exception {
-        try (HeldFront proxy = new HeldFront(10); HeldFront.Client client = proxy.new Client()) {
+        try (HeldFront proxy = new HeldFront(10);
+                HeldFront.Client client = proxy.new Client()) {
             HeldFront.Hold beforeGreeting = greetedWhileHeld(proxy, client);
             HeldFront.Hold beforeCancel = proxy.queueHold();
             client.send(LineFront.CANCEL);
@@ -97,8 +103,7 @@
     }
 
     /** A write of id 1 waits for its connection, whose greeting is behind the held loop when this returns. */
-    private static HeldFront.Hold greetedWhileHeld(HeldFront proxy, HeldFront.Client client)
-            throws Exception {
+    private static HeldFront.Hold greetedWhileHeld(HeldFront proxy, HeldFront.Client client) throws Exception {
         proxy.database.greeting = new CountDownLatch(1);
         client.write("1", WAIT_MS);
         while (proxy.database.opened.get() == 0) {
@@ -114,8 +119,8 @@
     }
 
     /** The reader has seen the client go when the loop hears of the greeting; the loop hears of it after. */
-    private static void letGreetingPass(HeldFront proxy, HeldFront.Hold beforeGreeting,
-            HeldFront.Hold beforeEnd) throws Exception {
+    private static void letGreetingPass(HeldFront proxy, HeldFront.Hold beforeGreeting, HeldFront.Hold beforeEnd)
+            throws Exception {
         proxy.awaitReader();
         beforeGreeting.release();
         beforeEnd.await();
@@ -126,7 +131,8 @@
     /** A repeat's connection comes up after the window in which databases discard repeats. */
     @Test(timeOut = TEST_TIMEOUT_MS)
     public void repeatIsNotWrittenOnceItsKeysWindowIsOver() throws Exception {
-        try (HeldFront proxy = new HeldFront(10); HeldFront.Client client = proxy.new Client()) {
+        try (HeldFront proxy = new HeldFront(10);
+                HeldFront.Client client = proxy.new Client()) {
             proxy.database.word = "BREAK";
             proxy.database.delayMs = 200;
             client.write("1", WAIT_MS);
@@ -149,7 +155,8 @@
     /** The time that a database is told counts from when the command was read, however late the loop is. */
     @Test(timeOut = TEST_TIMEOUT_MS)
     public void lateLoopLeavesADatabaseLessTime() throws Exception {
-        try (HeldFront proxy = new HeldFront(10); HeldFront.Client client = proxy.new Client()) {
+        try (HeldFront proxy = new HeldFront(10);
+                HeldFront.Client client = proxy.new Client()) {
             HeldFront.Hold hold = proxy.hold();
             client.write("1", WAIT_MS);
             Thread.sleep(400);
--- a/src/test/java/crankwick/app/Deployment.java
+++ b/src/test/java/crankwick/app/Deployment.java
@@ -63,6 +63,7 @@
     final Process process;
     /** Fills the log; ends when the program has. */
     private Thread reader;
+
     private final Path folder = Files.createTempDirectory("crankwick");
     private final Map<String, String> states = new LinkedHashMap<>();
     ScriptedDiscovery discovery;
@@ -72,6 +73,7 @@
     private int version = 1;
     /** Watches that are open now are never answered. */
     private int silentBefore;
+
     private int calls;
     /** Databases of other groups that the list names besides. */
     volatile int others;
@@ -79,6 +81,7 @@
     volatile boolean spoilt;
     /** How long a call waits its turn; until when the last one is held. */
     private int turnMs;
+
     private long heldUntil;
 
     Deployment(Wire wire) throws IOException, InterruptedException {
@@ -127,8 +130,10 @@
     /** Starts the built program; either configuration may be null. */
     static Process start(Path platform, Path operator) throws IOException {
         List<String> command = new ArrayList<>(List.of(
-                Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-XX:+UseSerialGC",
-                "-XX:TieredStopAtLevel=1", "-Xmx64m"));
+                Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+                "-XX:+UseSerialGC",
+                "-XX:TieredStopAtLevel=1",
+                "-Xmx64m"));
         command.addAll(List.of(System.getProperty("crankwick.jvm", "").split(" ")));
         command.removeIf(String::isEmpty);
         command.addAll(List.of("-jar", "target/crankwick.jar", "serve"));
@@ -149,8 +154,10 @@
 
     /** Fills a log that is safe to read meanwhile; ends when the program has. */
     static Thread read(Process process, List<String> log) {
-        Thread reader = new Thread(() -> new BufferedReader(new InputStreamReader(process.getInputStream(),
-                StandardCharsets.UTF_8)).lines().forEach(log::add));
+        Thread reader = new Thread(
+                () -> new BufferedReader(new InputStreamReader(process.getInputStream(), StandardCharsets.UTF_8))
+                        .lines()
+                        .forEach(log::add));
         reader.setDaemon(true);
         reader.start();
         return reader;
@@ -159,7 +166,8 @@
     /** The port of the program's front, of several the one that comes up at that place. */
     static int portOf(List<String> log, int place) throws IOException, InterruptedException {
         for (int i = 0; i < 1_500; i++) {
-            List<String> fronts = log.stream().filter(line -> line.contains("listening on")).toList();
+            List<String> fronts =
+                    log.stream().filter(line -> line.contains("listening on")).toList();
             if (fronts.size() > place) {
                 return Integer.parseInt(fronts.get(place).replaceAll(".*:", ""));
             }
@@ -176,8 +184,10 @@
     }
 
     private String operatorFile() throws IOException {
-        return Files.readString(OPERATOR_FILE).replace("127.0.0.1:1433", "127.0.0.1:0")
-                .replace("stations.zone", zoneFile).replace(part, instead);
+        return Files.readString(OPERATOR_FILE)
+                .replace("127.0.0.1:1433", "127.0.0.1:0")
+                .replace("stations.zone", zoneFile)
+                .replace(part, instead);
     }
 
     private String list(String query) throws InterruptedException {
@@ -212,8 +222,7 @@
             }
             silentBefore = calls;
             turnMs = turn;
-            return Math.max(System.nanoTime() + TimeUnit.SECONDS.toNanos(6),
-                    heldUntil + TimeUnit.SECONDS.toNanos(2));
+            return Math.max(System.nanoTime() + TimeUnit.SECONDS.toNanos(6), heldUntil + TimeUnit.SECONDS.toNanos(2));
         }
     }
 
@@ -231,8 +240,8 @@
                     + "\",\"zone\":\"ulemiste\",\"cell\":0,\"state\":\"" + states.get(d.name)
                     + "\",\"mode\":\"" + d.mode + "\",\"started_ms\":0}");
         }
-        return "{\"version\":" + version + ",\"full\":" + (from == 0) + ",\"servers\":["
-                + String.join(",", entries) + "]}";
+        return "{\"version\":" + version + ",\"full\":" + (from == 0) + ",\"servers\":[" + String.join(",", entries)
+                + "]}";
     }
 
     private boolean isUnreadable(StandIn d) {
@@ -243,17 +252,25 @@
         StringBuilder zone = new StringBuilder("$TTL 5\ndb.stations.example. IN A 127.0.0.1\n");
         for (StandIn d : databases) {
             zone.append(spoilt ? "@ IN PTR nowhere._tds._tcp.stations.example.\n" : "")
-                    .append("@ IN PTR ").append(d.name).append("._tds._tcp.stations.example.\n");
+                    .append("@ IN PTR ")
+                    .append(d.name)
+                    .append("._tds._tcp.stations.example.\n");
             if (!isUnreadable(d)) {
-                zone.append(d.name).append(" IN SRV 0 0 ").append(d.listener.getLocalPort())
+                zone.append(d.name)
+                        .append(" IN SRV 0 0 ")
+                        .append(d.listener.getLocalPort())
                         .append(" db.stations.example.\n");
             }
-            zone.append(d.name).append(" IN TXT zone=ulemiste cell=0 mode=").append(d.mode)
-                    .append(" state=").append(states.get(d.name)).append('\n');
+            zone.append(d.name)
+                    .append(" IN TXT zone=ulemiste cell=0 mode=")
+                    .append(d.mode)
+                    .append(" state=")
+                    .append(states.get(d.name))
+                    .append('\n');
         }
         Path whole = Files.writeString(folder.resolve("new.zone"), zone);
-        Files.move(whole, folder.resolve(zoneFile), StandardCopyOption.REPLACE_EXISTING,
-                StandardCopyOption.ATOMIC_MOVE);
+        Files.move(
+                whole, folder.resolve(zoneFile), StandardCopyOption.REPLACE_EXISTING, StandardCopyOption.ATOMIC_MOVE);
     }
 
     /** Changes the list, and gives the program time to hear of it. */
@@ -305,7 +322,10 @@
             throw new IOException("does not end");
         }
         reader.join();
-        return log.stream().filter(line -> line.contains("counters: ")).findAny().orElseThrow();
+        return log.stream()
+                .filter(line -> line.contains("counters: "))
+                .findAny()
+                .orElseThrow();
     }
 
     @Override
--- a/src/test/java/crankwick/app/DrainsIT.java
+++ b/src/test/java/crankwick/app/DrainsIT.java
@@ -13,7 +13,8 @@
 public class DrainsIT extends OnBothWires {
     @Test(dataProvider = "wires")
     public void drainingReplicaGetsNothingNew(Wire wire) throws Exception {
-        try (Deployment d = new Deployment(wire); Deployment.Client client = d.client()) {
+        try (Deployment d = new Deployment(wire);
+                Deployment.Client client = d.client()) {
             StandIn draining = d.replicas().get(0);
             client.ask(statement("map-view", 1000, ""));
             d.list(draining, "draining");
@@ -67,7 +68,10 @@
     /** The replica that reads go to: what they would do if they did not hear that it drains. */
     private StandIn lastServing(Deployment d, Deployment.Client client) throws IOException {
         Wire.Answer answer = client.ask(statement("map-view", 1000, ""));
-        return d.replicas().stream().filter(r -> answer.value().startsWith(r.name)).findAny().orElseThrow();
+        return d.replicas().stream()
+                .filter(r -> answer.value().startsWith(r.name))
+                .findAny()
+                .orElseThrow();
     }
 
     /**
@@ -76,7 +80,8 @@
      */
     @Test
     public void drainMissedByASilentWatchIsHonouredInTime() throws Exception {
-        try (Deployment d = new Deployment(new PgWire()); Deployment.Client client = d.client()) {
+        try (Deployment d = new Deployment(new PgWire());
+                Deployment.Client client = d.client()) {
             long latest = d.silence(2_000) + TimeUnit.MILLISECONDS.toNanos(2_000 + 50);
             for (StandIn replica : d.replicas()) {
                 d.list(replica, "draining");
@@ -85,9 +90,10 @@
                 assertEquals(client.ask(statement("map-view", 1000, "")).kind(), "SERVED");
                 Thread.sleep(20);
             }
-            List<StandIn.Seen> after = d.ledger.seen.stream().filter(seen -> seen.at() > latest).toList();
-            assertTrue(!after.isEmpty() && after.stream().allMatch(s -> s.server().equals("s-a")),
-                    after.toString());
+            List<StandIn.Seen> after =
+                    d.ledger.seen.stream().filter(seen -> seen.at() > latest).toList();
+            assertTrue(
+                    !after.isEmpty() && after.stream().allMatch(s -> s.server().equals("s-a")), after.toString());
             kept(d);
         }
     }
@@ -95,7 +101,8 @@
     /** Guards against SIGHUP ending the program, and against a list that is no longer heard after it. */
     @Test(dataProvider = "wires")
     public void reloadMovesTheWatchAndSurvivesAnUnreadableFile(Wire wire) throws Exception {
-        try (Deployment d = new Deployment(wire); Deployment.Client client = d.client()) {
+        try (Deployment d = new Deployment(wire);
+                Deployment.Client client = d.client()) {
             d.reload("{ \"discovery\": ");
             served(client.ask(statement("reserve", 3000, "")), "s-a");
             d.moveDiscovery().close();
@@ -117,7 +124,8 @@
      */
     @Test(dataProvider = "wires")
     public void reservationInFlightOutlivesItsPrimarysDrain(Wire wire) throws Exception {
-        try (Deployment d = new Deployment(wire); Deployment.Client first = d.client();
+        try (Deployment d = new Deployment(wire);
+                Deployment.Client first = d.client();
                 Deployment.Client later = d.client()) {
             StandIn old = d.primary();
             assertEquals(first.ask(statement("reserve", 3000, "")).value(), "s-a:" + id());
@@ -143,7 +151,8 @@
     /** Discovery moves while its last answer is on its way: it was told, though the new one is silent. */
     @Test
     public void answerOnItsWayWhenTheWatchMovesIsHeard() throws Exception {
-        try (Deployment d = new Deployment(new PgWire()); Deployment.Client client = d.client()) {
+        try (Deployment d = new Deployment(new PgWire());
+                Deployment.Client client = d.client()) {
             d.discovery.pauseMs = 3_000;
             d.list(Map.of("s-b", "draining", "s-c", "draining"));
             ScriptedDiscovery old = d.moveDiscovery(query -> {
@@ -162,7 +171,8 @@
     /** Answers of all forms are read; what is no list is asked for again, and undoes nothing told. */
     @Test
     public void answersOfAllFormsAreReadOrAskedForAgain() throws Exception {
-        try (Deployment d = new Deployment(new PgWire()); Deployment.Client client = d.client()) {
+        try (Deployment d = new Deployment(new PgWire());
+                Deployment.Client client = d.client()) {
             StandIn before = d.primary();
             for (ScriptedDiscovery.Form form : ScriptedDiscovery.Form.values()) {
                 StandIn draining = d.replicas().get(form.ordinal() % 2);
--- a/src/test/java/crankwick/app/FrontsIT.java
+++ b/src/test/java/crankwick/app/FrontsIT.java
@@ -22,7 +22,8 @@
     /** Guards against answers that overtake each other: the write is slow, the read behind it is not. */
     @Test
     public void pgAnswersKeepTheCommandsOrder() throws Exception {
-        try (Deployment d = new Deployment(new PgWire()); Deployment.Client client = d.client()) {
+        try (Deployment d = new Deployment(new PgWire());
+                Deployment.Client client = d.client()) {
             d.primary().delayMs = 300;
             client.send(statement("1", "reserve"));
             client.send(statement("2", "map-view"));
@@ -37,7 +38,8 @@
     @Test
     public void pgTakesByteByByteWhatFollowsARefusedEncryption() throws Exception {
         PgWire wire = new PgWire();
-        try (Deployment d = new Deployment(wire); Socket socket = d.connect()) {
+        try (Deployment d = new Deployment(wire);
+                Socket socket = d.connect()) {
             socket.getOutputStream().write(new byte[] {0, 0, 0, 8, 4, (byte) 0xD2, 22, 47});
             assertEquals(socket.getInputStream().read(), 'N');
             wire.login(socket, "");
@@ -47,14 +49,18 @@
                 socket.getOutputStream().write(b);
                 Thread.sleep(1);
             }
-            assertEquals(wire.answer(new java.io.DataInputStream(socket.getInputStream())).kind(), "SERVED");
+            assertEquals(
+                    wire.answer(new java.io.DataInputStream(socket.getInputStream()))
+                            .kind(),
+                    "SERVED");
         }
     }
 
     @Test
     public void tdsTeamsKeepToTheirContracts() throws Exception {
         TdsWire wire = new TdsWire();
-        try (Deployment d = new Deployment(wire); Deployment.Client reports = d.new Client("reports");
+        try (Deployment d = new Deployment(wire);
+                Deployment.Client reports = d.new Client("reports");
                 Deployment.Client more = d.new Client("reports");
                 Deployment.Client third = d.new Client("reports");
                 Deployment.Client collectors = d.client()) {
@@ -87,7 +93,8 @@
     @Test
     public void tdsAttentionWithdrawsTheBatch() throws Exception {
         TdsWire wire = new TdsWire();
-        try (Deployment d = new Deployment(wire); Deployment.Client client = d.client()) {
+        try (Deployment d = new Deployment(wire);
+                Deployment.Client client = d.client()) {
             d.primary().delayMs = 500;
             client.send(statement("1", "reserve"));
             Thread.sleep(100);
@@ -100,27 +107,30 @@
     /** Mistakes in the operator's file and the key that the one line must name. */
     @DataProvider
     public Object[][] mistakes() {
-        return new Object[][] {{"listen = ", "listne = ", "listne"},
-            {"sockets = 512", "sockets = 'x'", "sockets"}, {"sockets = 512", "", "sockets"},
+        return new Object[][] {
+            {"listen = ", "listne = ", "listne"},
+            {"sockets = 512", "sockets = 'x'", "sockets"},
+            {"sockets = 512", "", "sockets"},
             {"service = \"_tds", "service = \"..", "discovery.service"},
             {"stations.zone", "none.zone", "discovery.records"},
             {"[\"map-view\"]", "[\"no\"]", "teams.reports.classes"},
             {"outstanding = 2", "outstanding = -2", "teams.reports.outstanding"},
-            {"drain-grace-ms = 2000.0", "", "rules.drain-grace-ms"}, {"127.0.0.1:1433", "nowhere", "listen"},
+            {"drain-grace-ms = 2000.0", "", "rules.drain-grace-ms"},
+            {"127.0.0.1:1433", "nowhere", "listen"},
             {"repeat = \"keyed\"", "repeat = \"often\"", "classes[3].repeat"},
-            {"[teams", "[steams", "steams"}};
+            {"[teams", "[steams", "steams"}
+        };
     }
 
     @Test(dataProvider = "mistakes")
-    public void mistakeInTheOperatorsFileStopsTheStart(String right, String wrong, String key)
-            throws Exception {
+    public void mistakeInTheOperatorsFileStopsTheStart(String right, String wrong, String key) throws Exception {
         Path folder = Files.createTempDirectory("crankwick");
-        Files.copy(Path.of("deploy/stations.zone"), folder.resolve("stations.zone"),
-                StandardCopyOption.REPLACE_EXISTING);
+        Files.copy(
+                Path.of("deploy/stations.zone"), folder.resolve("stations.zone"), StandardCopyOption.REPLACE_EXISTING);
         String text = Files.readString(Path.of("deploy/tds.toml"));
         assertTrue(text.contains(right));
-        Process process = Deployment.start(null, Files.writeString(folder.resolve("tds.toml"),
-                text.replace(right, wrong)));
+        Process process =
+                Deployment.start(null, Files.writeString(folder.resolve("tds.toml"), text.replace(right, wrong)));
         String output = new String(process.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
         assertEquals(process.waitFor(), 2, output);
         assertEquals(output.lines().count(), 1, output);
--- a/src/test/java/crankwick/app/HandoverIT.java
+++ b/src/test/java/crankwick/app/HandoverIT.java
@@ -47,13 +47,14 @@
     private static final long LATE_SLACK = 1_000_000;
     /** With this seed the one trouble is a primary's death: the group is without one for 2.9 s at least. */
     private static final long DEATH_SEED = 3;
+
     private static final int HELD = 12;
     /** Requests by a multiple of this are writes to the first group. */
     private static final long WRITES = 3L * GROUPS;
+
     private static final Path OPERATOR_FILE = Path.of("deploy/tds.toml");
 
-    private record Done(int group, String key, long askedAt, long answeredAt, String kind, String code) {
-    }
+    private record Done(int group, String key, long askedAt, long answeredAt, String kind, String code) {}
 
     private final Path folder;
 
@@ -132,11 +133,17 @@
             }
             assertTrue(proxy.waitFor(10, TimeUnit.SECONDS));
             assertEquals(done.size(), HELD);
-            assertTrue(emulation.ledger().isSound(), emulation.ledger().figures().toString());
+            assertTrue(
+                    emulation.ledger().isSound(), emulation.ledger().figures().toString());
             for (Done d : done) {
                 int times = emulation.ledger().timesApplied(d.key());
-                assertTrue(d.kind().equals("SERVED") ? times == 1 : d.kind().equals("REFUSED") ? times == 0
-                        : d.kind().equals("FAILED") && times <= 1, times + " times: " + d);
+                assertTrue(
+                        d.kind().equals("SERVED")
+                                ? times == 1
+                                : d.kind().equals("REFUSED")
+                                        ? times == 0
+                                        : d.kind().equals("FAILED") && times <= 1,
+                        times + " times: " + d);
             }
             assertTrue(log.stream().anyMatch(line -> line.contains("handover: changes=")), log.toString());
         }
@@ -145,15 +152,20 @@
     /** The TDS front alone; or the platform's, to which the operator's file's table holds as well. */
     private Process start(Wire wire, Emulation emulation, Path zone) throws Exception {
         Path operator = folder.resolve("operator.toml");
-        Files.writeString(operator, Files.readString(OPERATOR_FILE).replace("127.0.0.1:1433", "127.0.0.1:0")
-                .replace("stations.zone", zone.getFileName().toString()));
+        Files.writeString(
+                operator,
+                Files.readString(OPERATOR_FILE)
+                        .replace("127.0.0.1:1433", "127.0.0.1:0")
+                        .replace("stations.zone", zone.getFileName().toString()));
         Path platform = null;
         if (wire instanceof PgWire) {
-            platform = Files.writeString(folder.resolve("config.json"), "{\"name\":\"n0\","
-                    + "\"listen\":\"127.0.0.1:0\",\"discovery\":\"127.0.0.1:" + emulation.listPort()
-                    + "\",\"seed\":\"8c1f30d27a5be964\",\"limits\":{\"sockets\":1024},\"known\":"
-                    + emulation.list() + ",\"settings\":"
-                    + Toml.parse(OPERATOR_FILE).getTable("settings").toJson() + "}");
+            platform = Files.writeString(
+                    folder.resolve("config.json"),
+                    "{\"name\":\"n0\","
+                            + "\"listen\":\"127.0.0.1:0\",\"discovery\":\"127.0.0.1:" + emulation.listPort()
+                            + "\",\"seed\":\"8c1f30d27a5be964\",\"limits\":{\"sockets\":1024},\"known\":"
+                            + emulation.list() + ",\"settings\":"
+                            + Toml.parse(OPERATOR_FILE).getTable("settings").toJson() + "}");
         }
         return Deployment.start(platform, operator);
     }
@@ -249,8 +261,9 @@
             assertTrue(d.answeredAt() <= d.askedAt() + late + LATE_SLACK, "late: " + d);
             if (d.key() != null) {
                 int times = ledger.timesApplied(d.key());
-                assertTrue(d.kind().equals("SERVED") ? times == 1 : d.kind().equals("REFUSED") ? times == 0
-                        : times <= 1, times + " times: " + d + said);
+                assertTrue(
+                        d.kind().equals("SERVED") ? times == 1 : d.kind().equals("REFUSED") ? times == 0 : times <= 1,
+                        times + " times: " + d + said);
                 EmulationLedger.Vacancy met = reachable(d, ledger.vacancies());
                 if (met != null) {
                     reachable[met.cold() ? 1 : 0]++;
@@ -258,8 +271,8 @@
                 }
             }
         }
-        System.out.println("handover on sockets: " + kinds + " " + figures + " reachable=" + reachable[0]
-                + " served=" + reached[0] + ", of a cold primary: " + reachable[1] + " " + reached[1]);
+        System.out.println("handover on sockets: " + kinds + " " + figures + " reachable=" + reachable[0] + " served="
+                + reached[0] + ", of a cold primary: " + reachable[1] + " " + reached[1]);
         // The share is measured in longer runs; this guards against holding that does not work at all.
         assertTrue(reached[0] + reached[1] > 0 || reachable[0] + reachable[1] == 0, said);
     }
@@ -274,7 +287,9 @@
         for (EmulationLedger.Vacancy v : vacancies) {
             if (v.group() == d.group() && v.from() < d.askedAt() + DEADLINE && v.until() > d.askedAt()) {
                 boolean inFlight = d.askedAt() < v.from() && d.askedAt() + KEY_TTL < v.until() + MARGIN;
-                if (met != null || inFlight || v.until() > d.askedAt() + DEADLINE - MARGIN
+                if (met != null
+                        || inFlight
+                        || v.until() > d.askedAt() + DEADLINE - MARGIN
                         || d.answeredAt() < v.from()) {
                     return null;
                 }
--- a/src/test/java/crankwick/app/HeldFront.java
+++ b/src/test/java/crankwick/app/HeldFront.java
@@ -58,16 +58,25 @@
     private final List<Hold> holds = new ArrayList<>();
 
     HeldFront(int maxSessions) throws Exception {
-        Settings settings = new Settings(1, 0, false, true, true, WhenBehind.WAIT, ListRole.LATE,
+        Settings settings = new Settings(
+                1,
+                0,
+                false,
+                true,
+                true,
+                WhenBehind.WAIT,
+                ListRole.LATE,
                 new Rules(20 * MS, 2_000 * MS, false, 0.18, 16_000 * MS, 2.5, 2_000 * MS),
-                new Limits(true, true, true, 2_000 * MS, 8, CONNECT_TIMEOUT), new Prices(0.01, 0.02, 0.05),
-                List.of(new RequestClass(Need.WRITE, 0, Repeat.KEYED, Scope.GROUP, KEY_TTL, 2_000 * MS,
-                        6_000 * MS, 6, 0.5)));
+                new Limits(true, true, true, 2_000 * MS, 8, CONNECT_TIMEOUT),
+                new Prices(0.01, 0.02, 0.05),
+                List.of(new RequestClass(
+                        Need.WRITE, 0, Repeat.KEYED, Scope.GROUP, KEY_TTL, 2_000 * MS, 6_000 * MS, 6, 0.5)));
         broker = new Broker(settings, 1, Map.of("", Contract.UNLIMITED), null);
         EffectRunner runner = new EffectRunner(broker, loop, clock);
         front = new ClientFront(runner, settings.classes(), List.of("write"), ""::equals, maxSessions);
-        runner.attach(front, new DatabasePool(runner, transport, new PgDatabaseCodec(), CONNECT_TIMEOUT,
-                IDLE_LIMIT, MAX_LINKS));
+        runner.attach(
+                front,
+                new DatabasePool(runner, transport, new PgDatabaseCodec(), CONNECT_TIMEOUT, IDLE_LIMIT, MAX_LINKS));
         database = new StandIn("primary", "read-write", new PgWire(), ledger);
         var address = new InetSocketAddress("127.0.0.1", database.listener.getLocalPort());
         Member member = new Member("primary", 0, 0, Role.PRIMARY, Standing.LIVE, 0);
@@ -156,14 +165,13 @@
             socket.connect(front.address());
             socket.setTcpNoDelay(true);
             socket.setSoTimeout(20_000);
-            in = new BufferedReader(new InputStreamReader(socket.getInputStream(),
-                    StandardCharsets.US_ASCII));
+            in = new BufferedReader(new InputStreamReader(socket.getInputStream(), StandardCharsets.US_ASCII));
             send("");
             List<String> answers = new ArrayList<>(List.of(answer(), answer()));
             if (!answers.equals(List.of("Welcome", "Nothing"))) {
                 throw new IOException(answers.toString());
             }
-            onLoop(() -> { });
+            onLoop(() -> {});
         }
 
         /** Sends a command; with the loop held, the reader has it when this returns. */
--- a/src/test/java/crankwick/app/LineFront.java
+++ b/src/test/java/crankwick/app/LineFront.java
@@ -15,6 +15,7 @@
 
     /** One permit for each connection that has been accepted, and for each command that has been read. */
     final Semaphore accepted = new Semaphore(0);
+
     final Semaphore read = new Semaphore(0);
 
     @Override
--- a/src/test/java/crankwick/app/PgWire.java
+++ b/src/test/java/crankwick/app/PgWire.java
@@ -13,8 +13,7 @@
 
 /** PostgreSQL's protocol, written for the tests alone so that it does not share the program's mistakes. */
 final class PgWire implements Wire {
-    private static final Map<String, String> CODES =
-            Map.of("MISS", "72000", "FULL", "53300", "ERROR", "XX000");
+    private static final Map<String, String> CODES = Map.of("MISS", "72000", "FULL", "53300", "ERROR", "XX000");
 
     private static byte[] message(char type, String text) {
         byte[] body = text.getBytes(StandardCharsets.ISO_8859_1);
@@ -66,7 +65,10 @@
                         fields.put(field.charAt(0), field.substring(1));
                     }
                     String code = fields.get('C');
-                    answer = new Answer(code.equals("53300") ? "REFUSED" : "FAILED", code, null,
+                    answer = new Answer(
+                            code.equals("53300") ? "REFUSED" : "FAILED",
+                            code,
+                            null,
                             Long.parseLong(fields.getOrDefault('D', "0")));
                 } else if (type == 'Z') {
                     return answer;
@@ -102,12 +104,17 @@
 
     @Override
     public byte[] reply(Verdict verdict, boolean probe) {
-        byte[] facts = joined(message('S', "mode\0" + verdict.mode() + "\0"),
+        byte[] facts = joined(
+                message('S', "mode\0" + verdict.mode() + "\0"),
                 message('S', "wal_time\0" + verdict.position() + "\0"),
-                message('S', "stats\0" + verdict.report() + "\0"), message('Z', "I"));
+                message('S', "stats\0" + verdict.report() + "\0"),
+                message('Z', "I"));
         if (probe || verdict.word().equals("VALUE")) {
-            return joined(columns(probe ? "stats" : "val"),
-                    row(probe ? verdict.report() : verdict.value(), 0), message('C', "SELECT 1\0"), facts);
+            return joined(
+                    columns(probe ? "stats" : "val"),
+                    row(probe ? verdict.report() : verdict.value(), 0),
+                    message('C', "SELECT 1\0"),
+                    facts);
         }
         return joined(message('E', "SERROR\0C" + CODES.get(verdict.word()) + "\0Mno\0\0"), facts);
     }
@@ -135,19 +142,37 @@
         byte[] row = row(verdict.value(), 0);
         byte[] done = joined(message('C', "SELECT 1\0"), message('Z', "I"));
         byte[] threeGigabytes = {'D', (byte) 0xC0, 0, 0, 0, 0, 1, (byte) 0xBF, (byte) 0xFF, (byte) 0xFF, 0};
-        return new byte[][] {"\21\3noise \377\377\0".getBytes(StandardCharsets.ISO_8859_1),
-            joined(columns, row(verdict.value(), -1), done), joined(columns, row(verdict.value(), 1), done),
-            joined(columns, row, row, done), joined(columns, done), joined(row, done), joined(columns, row),
-            joined(columns, row, message('Z', "I")), joined(columns, row, message('Z', "")), done,
-            joined(columns, threeGigabytes, new byte[1 << 20]), joined(columns, message('D', "\0")),
-            joined(columns, row, message('E', "no end"), done), message('Z', "I"), new byte[] {'T'},
-            message('E', "SERROR\0\0"), joined(message('t', "x"), columns, row, done)};
+        return new byte[][] {
+            "\21\3noise \377\377\0".getBytes(StandardCharsets.ISO_8859_1),
+            joined(columns, row(verdict.value(), -1), done),
+            joined(columns, row(verdict.value(), 1), done),
+            joined(columns, row, row, done),
+            joined(columns, done),
+            joined(row, done),
+            joined(columns, row),
+            joined(columns, row, message('Z', "I")),
+            joined(columns, row, message('Z', "")),
+            done,
+            joined(columns, threeGigabytes, new byte[1 << 20]),
+            joined(columns, message('D', "\0")),
+            joined(columns, row, message('E', "no end"), done),
+            message('Z', "I"),
+            new byte[] {'T'},
+            message('E', "SERROR\0\0"),
+            joined(message('t', "x"), columns, row, done)
+        };
     }
 
     @Override
     public byte[][] nonsense() {
-        return new byte[][] {"GET / HTTP/1.1\r\n\r\n".getBytes(StandardCharsets.US_ASCII),
-            {0, 0, 0, 1}, message((char) 0, "\0\2\0\0"), {'Q', 127, 127, 127, 127, 0},
-            message('P', "\0\0\0\0"), message('Q', "no end"), message('Q', "")};
+        return new byte[][] {
+            "GET / HTTP/1.1\r\n\r\n".getBytes(StandardCharsets.US_ASCII),
+            {0, 0, 0, 1},
+            message((char) 0, "\0\2\0\0"),
+            {'Q', 127, 127, 127, 127, 0},
+            message('P', "\0\0\0\0"),
+            message('Q', "no end"),
+            message('Q', "")
+        };
     }
 }
--- a/src/test/java/crankwick/app/RulesIT.java
+++ b/src/test/java/crankwick/app/RulesIT.java
@@ -12,7 +12,8 @@
 public class RulesIT extends OnBothWires {
     @Test(dataProvider = "wires")
     public void readsGoToReplicasAndWritesToThePrimary(Wire wire) throws Exception {
-        try (Deployment d = new Deployment(wire); Deployment.Client client = d.client()) {
+        try (Deployment d = new Deployment(wire);
+                Deployment.Client client = d.client()) {
             for (int i = 0; i < 10; i++) {
                 Wire.Answer read = client.ask(statement("map-view", 1000, ""));
                 assertEquals(read.kind(), "SERVED", read.toString());
@@ -21,8 +22,10 @@
             }
             // The text passes on unchanged but for the time that the proxy itself will wait.
             String sent = d.ledger.at("s-a").get(0).statement();
-            assertTrue(sent.matches("/\\* id=\\d+,c=reserve,d=[123]\\d\\d\\d,k=5c0f6e1a2b3d\\d+,cluster=0 "
-                    + "\\*/ SELECT val FROM state WHERE uid = '7f3a9c21e0b4d655'"), sent);
+            assertTrue(
+                    sent.matches("/\\* id=\\d+,c=reserve,d=[123]\\d\\d\\d,k=5c0f6e1a2b3d\\d+,cluster=0 "
+                            + "\\*/ SELECT val FROM state WHERE uid = '7f3a9c21e0b4d655'"),
+                    sent);
             assertEquals(d.ledger.seen.size(), 20);
             kept(d);
         }
@@ -51,7 +54,8 @@
     /** Guards against a new connection for each request that comes right behind an answer. */
     @Test(dataProvider = "wires")
     public void oneRequestAfterAnotherWaitsForTheConnectionToRest(Wire wire) throws Exception {
-        try (Deployment d = new Deployment(wire); Deployment.Client client = d.client()) {
+        try (Deployment d = new Deployment(wire);
+                Deployment.Client client = d.client()) {
             for (int i = 0; i < 40; i++) {
                 served(client.ask(statement("reserve", 3000, "")), "s-a");
             }
@@ -64,14 +68,17 @@
     /** Guards against a connection lost with each answer past its deadline, and against two answers. */
     @Test(dataProvider = "wires")
     public void answerPastItsDeadlineLeavesTheConnectionForTheNext(Wire wire) throws Exception {
-        try (Deployment d = new Deployment(wire); Deployment.Client client = d.client()) {
+        try (Deployment d = new Deployment(wire);
+                Deployment.Client client = d.client()) {
             d.databases.forEach(database -> database.delayMs = 300);
             for (int i = 0; i < 5; i++) {
                 Wire.Answer answer = client.ask(statement("map-view", 200, ""));
                 assertTrue(answer.kind().matches("FAILED|REFUSED"), answer.toString());
                 Thread.sleep(400);
             }
-            int opened = d.replicas().stream().mapToInt(replica -> replica.opened.get()).sum();
+            int opened = d.replicas().stream()
+                    .mapToInt(replica -> replica.opened.get())
+                    .sum();
             assertTrue(d.ledger.seen.size() >= 2, d.ledger.seen.toString());
             assertTrue(opened <= 6, "for two replicas: " + opened);
             kept(d);
@@ -81,7 +88,8 @@
     /** Guards against a miss that is taken for an answer, and against both replicas being asked at once. */
     @Test(dataProvider = "wires")
     public void missedReadGoesToAnotherReplica(Wire wire) throws Exception {
-        try (Deployment d = new Deployment(wire); Deployment.Client client = d.client()) {
+        try (Deployment d = new Deployment(wire);
+                Deployment.Client client = d.client()) {
             d.replicas().get(0).word = "MISS";
             for (int i = 0; i < 5; i++) {
                 served(client.ask(statement("map-view", 1000, "")), "s-c");
@@ -93,7 +101,8 @@
     /** Guards against noise, a cut value or another's value being served, and against its sender hanging. */
     @Test(dataProvider = "wires")
     public void spoiltAnswerIsAFailedAttemptAndNeverServed(Wire wire) throws Exception {
-        try (Deployment d = new Deployment(wire); Deployment.Client client = d.client()) {
+        try (Deployment d = new Deployment(wire);
+                Deployment.Client client = d.client()) {
             d.databases.forEach(database -> database.word = "SPOILT");
             int ways = wire.spoilt(new Wire.Verdict("", "", "", 0)).length;
             for (int i = 0; i < 200 && d.ledger.at("s-a").size() < 3 * ways; i++) {
@@ -111,7 +120,8 @@
      */
     @Test(dataProvider = "wires")
     public void copyBehindAnAnswerServesNobody(Wire wire) throws Exception {
-        try (Deployment d = new Deployment(wire); Deployment.Client client = d.client();
+        try (Deployment d = new Deployment(wire);
+                Deployment.Client client = d.client();
                 Deployment.Client other = d.client()) {
             d.databases.forEach(database -> database.word = "TWICE");
             for (int i = 0; i < 40; i++) {
@@ -137,7 +147,8 @@
 
     @Test(dataProvider = "wires")
     public void reportThatCantBeReadSpoilsNoAnswer(Wire wire) throws Exception {
-        try (Deployment d = new Deployment(wire); Deployment.Client client = d.client()) {
+        try (Deployment d = new Deployment(wire);
+                Deployment.Client client = d.client()) {
             d.databases.forEach(database -> database.word = "NO REPORT");
             for (int i = 0; i < 10; i++) {
                 served(client.ask(statement("reserve", 3000, "")), "s-a");
@@ -151,11 +162,13 @@
     /** Guards against a keyed write that may have run being repeated after its key has lapsed, or refused. */
     @Test(dataProvider = "wires")
     public void keyedWriteThatMayHaveRunIsRepeatedWithinItsKeyAndNeverRefused(Wire wire) throws Exception {
-        try (Deployment d = new Deployment(wire); Deployment.Client client = d.client()) {
+        try (Deployment d = new Deployment(wire);
+                Deployment.Client client = d.client()) {
             d.primary().word = "BREAK";
             Wire.Answer answer = client.ask(statement("reserve", 3000, ""));
             assertEquals(answer.kind(), "FAILED", answer.toString());
-            List<StandIn.Seen> sent = d.ledger.seen.stream().filter(s -> s.id().equals(id())).toList();
+            List<StandIn.Seen> sent =
+                    d.ledger.seen.stream().filter(s -> s.id().equals(id())).toList();
             long spread = sent.get(sent.size() - 1).at() - sent.get(0).at();
             assertTrue(sent.size() > 1 && sent.size() <= 8, sent.toString());
             assertTrue(spread < TimeUnit.MILLISECONDS.toNanos(2_050), sent.toString());
@@ -166,7 +179,8 @@
     /** Guards against a read lost on a silent database, and against a second attempt beside the first. */
     @Test(dataProvider = "wires")
     public void readOnASilentReplicaIsWithdrawnAndGoesToTheOther(Wire wire) throws Exception {
-        try (Deployment d = new Deployment(wire); Deployment.Client client = d.client()) {
+        try (Deployment d = new Deployment(wire);
+                Deployment.Client client = d.client()) {
             d.replicas().get(0).word = "SILENT";
             for (int i = 0; i < 5; i++) {
                 served(client.ask(statement("map-view", 10_000, "")), "s-c");
@@ -178,7 +192,8 @@
     /** Guards against an answer lost, or given twice, where no database ever answers. */
     @Test(dataProvider = "wires")
     public void everythingSilentEndsInOneAnswerWithinTheDeadline(Wire wire) throws Exception {
-        try (Deployment d = new Deployment(wire); Deployment.Client client = d.client()) {
+        try (Deployment d = new Deployment(wire);
+                Deployment.Client client = d.client()) {
             d.databases.forEach(database -> database.word = "SILENT");
             for (String cls : List.of("map-view", "reserve")) {
                 long start = System.nanoTime();
@@ -197,7 +212,8 @@
     /** A request that the module gives up on is answered at once, and says when to come again. */
     @Test(dataProvider = "wires")
     public void givenUpIsRefusedAtOnceWithARetryAfter(Wire wire) throws Exception {
-        try (Deployment d = new Deployment(wire); Deployment.Client client = d.client()) {
+        try (Deployment d = new Deployment(wire);
+                Deployment.Client client = d.client()) {
             long start = System.nanoTime();
             String elsewhere = statement("map-view", 30_000, "").replace("cluster=0", "cluster=7");
             Wire.Answer answer = client.ask(elsewhere);
@@ -215,7 +231,8 @@
      */
     @Test(dataProvider = "wires")
     public void resetConnectionsAreNoRestartsOfTheirDatabases(Wire wire) throws Exception {
-        try (Deployment d = new Deployment(wire); Deployment.Client client = d.client()) {
+        try (Deployment d = new Deployment(wire);
+                Deployment.Client client = d.client()) {
             d.databases.forEach(database -> database.resets = true);
             int served = 0;
             for (int i = 0; i < 40; i++) {
@@ -238,7 +255,8 @@
     /** Guards against a request written to a connection that the database is about to end. */
     @Test(dataProvider = "wires")
     public void idleConnectionsAreEndedBeforeTheDatabaseEndsThem(Wire wire) throws Exception {
-        try (Deployment d = new Deployment(wire); Deployment.Client client = d.client()) {
+        try (Deployment d = new Deployment(wire);
+                Deployment.Client client = d.client()) {
             d.databases.forEach(database -> database.idleMs = 4_000);
             for (int i = 0; i < 4; i++) {
                 assertEquals(client.ask(statement("reserve", 3000, "")).kind(), "SERVED");
--- a/src/test/java/crankwick/app/ScriptedDiscovery.java
+++ b/src/test/java/crankwick/app/ScriptedDiscovery.java
@@ -16,7 +16,15 @@
 final class ScriptedDiscovery implements AutoCloseable {
     /** How answers are written: some are whole, of the others no list can be read. */
     enum Form {
-        WITH_LENGTH, IN_CHUNKS, TO_THE_CLOSE, BYTE_BY_BYTE, EMPTY, CUT, CUT_WITHOUT_LENGTH, ENDLESS, NO_LIST,
+        WITH_LENGTH,
+        IN_CHUNKS,
+        TO_THE_CLOSE,
+        BYTE_BY_BYTE,
+        EMPTY,
+        CUT,
+        CUT_WITHOUT_LENGTH,
+        ENDLESS,
+        NO_LIST,
         TURNED_AWAY;
 
         boolean isWhole() {
@@ -34,6 +42,7 @@
     volatile Form form = Form.WITH_LENGTH;
     /** Halves of answers wait for so long between them. */
     volatile int pauseMs;
+
     private final ServerSocket listener = new ServerSocket(0, 100, InetAddress.getByName("127.0.0.1"));
     private final Lists lists;
     private final Set<Socket> sockets = ConcurrentHashMap.newKeySet();
@@ -73,8 +82,8 @@
     private void serve(Socket socket) throws IOException, InterruptedException {
         try (socket) {
             socket.setTcpNoDelay(true);
-            BufferedReader in = new BufferedReader(
-                    new InputStreamReader(socket.getInputStream(), StandardCharsets.US_ASCII));
+            BufferedReader in =
+                    new BufferedReader(new InputStreamReader(socket.getInputStream(), StandardCharsets.US_ASCII));
             String target = in.readLine().split(" ")[1];
             while (!in.readLine().isEmpty()) {
                 continue;
--- a/src/test/java/crankwick/app/StandIn.java
+++ b/src/test/java/crankwick/app/StandIn.java
@@ -18,8 +18,7 @@
 /** A small database: answers as it is told to, and notes what it was sent and when. */
 final class StandIn implements AutoCloseable {
     /** What a database was sent: the request's id and when its last byte had come. */
-    record Seen(String server, String id, String statement, long at) {
-    }
+    record Seen(String server, String id, String statement, long at) {}
 
     /** What all the databases of a test have seen; the rules are read off it. */
     static final class Ledger {
@@ -27,6 +26,7 @@
         final List<String> broken = new CopyOnWriteArrayList<>();
         /** Values whose copy the machine held up past the time within which a copy must come to light. */
         final Set<String> lateCopies = ConcurrentHashMap.newKeySet();
+
         private final Set<String> inFlight = ConcurrentHashMap.newKeySet();
 
         long sent(String id) {
@@ -50,20 +50,24 @@
      * same write) or NO REPORT (unreadable).
      */
     volatile String word = "VALUE";
+
     private int answers;
     volatile int delayMs;
     /** A new connection is greeted after so long. */
     volatile int greetMs;
     /** A new connection is greeted once this is open; how many were. */
     volatile CountDownLatch greeting = new CountDownLatch(0);
+
     final AtomicInteger greeted = new AtomicInteger();
     /** Every fifth new connection is reset, and what had been answered on is reset by the next statement. */
     volatile boolean resets;
+
     private int accepted;
     /** Connections that ever came up. */
     final AtomicInteger opened = new AtomicInteger();
     /** Connections idle for so long are ended, as databases do. */
     volatile int idleMs;
+
     private final Wire wire;
     private final Ledger ledger;
     private final Set<Socket> sockets = ConcurrentHashMap.newKeySet();
@@ -113,7 +117,7 @@
             greeting.await();
             wire.greet(socket, in);
             greeted.incrementAndGet();
-            for (int asked = 0;; asked++) {
+            for (int asked = 0; ; asked++) {
                 socket.setSoTimeout(idleMs);
                 String statement = wire.statement(in);
                 if (statement == null) {
--- a/src/test/java/crankwick/app/StartIT.java
+++ b/src/test/java/crankwick/app/StartIT.java
@@ -14,12 +14,12 @@
 public class StartIT {
     /** Of the smallest machine, 128 MB: the rest is for stacks, the class archive and the virtual machine. */
     private static final int MOST_MB = 108;
+
     private static final Pattern SIZE =
             Pattern.compile("(?:Xmx|MaxMetaspaceSize=|ReservedCodeCacheSize=|MaxDirectMemorySize=)(\\d+)m");
 
     private static String flags() throws Exception {
-        return Toml.parse(Path.of("deploy/balancer.toml")).getString("run")
-                .replaceAll("^exec java (.*) -jar .*", "$1");
+        return Toml.parse(Path.of("deploy/balancer.toml")).getString("run").replaceAll("^exec java (.*) -jar .*", "$1");
     }
 
     @Test
@@ -37,12 +37,14 @@
     @Test
     public void listOf1024DatabasesIsCarried() throws Exception {
         System.setProperty("crankwick.jvm", flags());
-        try (Deployment d = new Deployment(new PgWire()); Deployment.Client client = d.client()) {
+        try (Deployment d = new Deployment(new PgWire());
+                Deployment.Client client = d.client()) {
             d.others = 1_021;
             for (int i = 0; i < 4; i++) {
                 StandIn leaving = d.replicas().get(i % 2);
                 d.list(leaving, "draining");
-                String value = client.ask("/* id=" + i + ",c=map-view,d=2000,cluster=0 */ SELECT 1").value();
+                String value = client.ask("/* id=" + i + ",c=map-view,d=2000,cluster=0 */ SELECT 1")
+                        .value();
                 assertEquals(value, d.replicas().get(1 - i % 2).name + ":" + i);
                 d.list(leaving, "up");
             }
@@ -56,11 +58,15 @@
     @Test
     public void startAndFirstRequestLoadNoBootstrapMachinery() throws Exception {
         System.setProperty("crankwick.jvm", flags() + " -Xlog:class+load:stdout");
-        try (Deployment d = new Deployment(new PgWire()); Deployment.Client client = d.client()) {
+        try (Deployment d = new Deployment(new PgWire());
+                Deployment.Client client = d.client()) {
             String statement = "/* id=1,c=map-view,d=2000,cluster=0 */ SELECT val FROM state";
             assertEquals(client.ask(statement).kind(), "SERVED");
-            for (String name : List.of("java.lang.runtime.ObjectMethods", "java.util.logging.ConsoleHandler",
-                    "grizzly.threadpool.AbstractThreadPool$5", "java.util.Comparator$$Lambda")) {
+            for (String name : List.of(
+                    "java.lang.runtime.ObjectMethods",
+                    "java.util.logging.ConsoleHandler",
+                    "grizzly.threadpool.AbstractThreadPool$5",
+                    "java.util.Comparator$$Lambda")) {
                 assertTrue(d.log.stream().noneMatch(line -> line.contains(name)), name);
             }
             assertTrue(d.log.stream().anyMatch(line -> line.contains("crankwick.broker.Broker ")));
--- a/src/test/java/crankwick/app/TdsWire.java
+++ b/src/test/java/crankwick/app/TdsWire.java
@@ -47,7 +47,7 @@
 
     private static byte[] message(DataInputStream in, int[] type) throws IOException {
         ByteArrayOutputStream body = new ByteArrayOutputStream();
-        for (int status = 0; (status & 1) == 0;) {
+        for (int status = 0; (status & 1) == 0; ) {
             type[0] = in.readUnsignedByte();
             status = in.readByte();
             int length = in.readUnsignedShort();
@@ -68,14 +68,27 @@
     }
 
     private static byte[] batch(String statement) {
-        return packets(1, buffer(100 + 2 * statement.length())
-                .putInt(22).putInt(18).putShort((short) 2).putLong(0).putInt(1)
-                .put(utf16(statement)));
+        return packets(
+                1,
+                buffer(100 + 2 * statement.length())
+                        .putInt(22)
+                        .putInt(18)
+                        .putShort((short) 2)
+                        .putLong(0)
+                        .putInt(1)
+                        .put(utf16(statement)));
     }
 
     private static void word(ByteBuffer out, int token, int number, String text) {
-        out.put((byte) token).putShort((short) (12 + 2 * text.length())).putInt(number).put((byte) 1)
-                .put((byte) 16).putShort((short) text.length()).put(utf16(text)).put((byte) 0).put((byte) 0)
+        out.put((byte) token)
+                .putShort((short) (12 + 2 * text.length()))
+                .putInt(number)
+                .put((byte) 1)
+                .put((byte) 16)
+                .putShort((short) text.length())
+                .put(utf16(text))
+                .put((byte) 0)
+                .put((byte) 0)
                 .putShort((short) 1);
     }
 
@@ -85,7 +98,8 @@
         socket.getOutputStream().write(packets(0x12, PRELOGIN));
         message(in, new int[1]);
         ByteBuffer login = buffer().put(new byte[40]).putShort((short) 94).putShort((short) team.length());
-        socket.getOutputStream().write(packets(0x10, login.put(new byte[94 - 44]).put(utf16(team))));
+        socket.getOutputStream()
+                .write(packets(0x10, login.put(new byte[94 - 44]).put(utf16(team))));
         if (answer(in).kind().equals("FAILED")) {
             throw new EOFException("login refused");
         }
@@ -141,8 +155,7 @@
                     if (text.startsWith("retry_after=")) {
                         retryAfter = Long.parseLong(text.substring(12));
                     } else if (token == 0xAA) {
-                        answer = new Answer(number / 100 == 501 ? "REFUSED" : "FAILED", "" + number, null,
-                                retryAfter);
+                        answer = new Answer(number / 100 == 501 ? "REFUSED" : "FAILED", "" + number, null, retryAfter);
                     }
                 }
                 body.position(end);
@@ -156,8 +169,14 @@
         message(in, new int[1]);
         socket.getOutputStream().write(packets(4, PRELOGIN));
         message(in, new int[1]);
-        ByteBuffer ack = buffer().put((byte) 0xAD).putShort((short) 10).put((byte) 1).putInt(0x04000074)
-                .put((byte) 0).putInt(0).put((byte) 0xFD).put(new byte[12]);
+        ByteBuffer ack = buffer().put((byte) 0xAD)
+                .putShort((short) 10)
+                .put((byte) 1)
+                .putInt(0x04000074)
+                .put((byte) 0)
+                .putInt(0)
+                .put((byte) 0xFD)
+                .put(new byte[12]);
         socket.getOutputStream().write(packets(4, ack));
     }
 
@@ -192,8 +211,14 @@
     }
 
     private static ByteBuffer columns(ByteBuffer out) {
-        return out.put((byte) 0x81).putShort((short) 1).putInt(0).putShort((short) 0).put((byte) 0xA5)
-                .putShort((short) 8000).put((byte) 3).put(utf16("val"));
+        return out.put((byte) 0x81)
+                .putShort((short) 1)
+                .putInt(0)
+                .putShort((short) 0)
+                .put((byte) 0xA5)
+                .putShort((short) 8000)
+                .put((byte) 3)
+                .put(utf16("val"));
     }
 
     /** A row whose value is said to be longer than it is. */
@@ -211,20 +236,33 @@
         String value = verdict.value();
         ByteBuffer endless = columns(buffer());
         endless.put((byte) 0xD1).putShort((short) 0xFFFE).put(new byte[10_000]);
-        return new byte[][] {"\21\3noise \377\377\0".getBytes(StandardCharsets.ISO_8859_1),
+        return new byte[][] {
+            "\21\3noise \377\377\0".getBytes(StandardCharsets.ISO_8859_1),
             packets(4, done(row(columns(buffer()), value, -1))),
-            packets(4, done(row(columns(buffer()), value, 1))), packets(4, endless),
+            packets(4, done(row(columns(buffer()), value, 1))),
+            packets(4, endless),
             packets(4, done(row(row(columns(buffer()), value, 0), value, 0))),
-            packets(4, done(columns(buffer()))), packets(4, done(row(buffer(), value, 0))),
-            packets(4, row(columns(buffer()), value, 0)), packets(4, done(buffer())),
-            packets(4, done(row(columns(done(buffer())), value, 0))), packets(3, done(buffer())),
-            {4, 1, (byte) 0xFF, (byte) 0xFF, 0, 0, 0, 0}, {4, 0, 0, 8, 0, 0, 0, 0}, {4}};
+            packets(4, done(columns(buffer()))),
+            packets(4, done(row(buffer(), value, 0))),
+            packets(4, row(columns(buffer()), value, 0)),
+            packets(4, done(buffer())),
+            packets(4, done(row(columns(done(buffer())), value, 0))),
+            packets(3, done(buffer())),
+            {4, 1, (byte) 0xFF, (byte) 0xFF, 0, 0, 0, 0},
+            {4, 0, 0, 8, 0, 0, 0, 0},
+            {4}
+        };
     }
 
     @Override
     public byte[][] nonsense() {
-        return new byte[][] {"GET / HTTP/1.1\r\n\r\n".getBytes(StandardCharsets.US_ASCII),
-            {0x12, 1, 0, 3, 0, 0, 0, 0}, batch("before the login"), packets(0x10, new byte[10]),
-            packets(0x77, new byte[4]), {1, 1, (byte) 0xFF, (byte) 0xFF, 0, 0, 0, 0}};
+        return new byte[][] {
+            "GET / HTTP/1.1\r\n\r\n".getBytes(StandardCharsets.US_ASCII),
+            {0x12, 1, 0, 3, 0, 0, 0, 0},
+            batch("before the login"),
+            packets(0x10, new byte[10]),
+            packets(0x77, new byte[4]),
+            {1, 1, (byte) 0xFF, (byte) 0xFF, 0, 0, 0, 0}
+        };
     }
 }
--- a/src/test/java/crankwick/app/Wire.java
+++ b/src/test/java/crankwick/app/Wire.java
@@ -14,8 +14,7 @@
     /** What a database answers: a value, or one of the words MISS, FULL, ERROR; its position as Unix time. */
     record Verdict(String word, String value, String mode, long position, String report) {
         Verdict(String word, String value, String mode, long position) {
-            this(word, value, mode, position,
-                    "x0=" + position / 1e3 + ",x1=" + (mode.equals("read-write") ? 1 : 0));
+            this(word, value, mode, position, "x0=" + position / 1e3 + ",x1=" + (mode.equals("read-write") ? 1 : 0));
         }
     }
 
--- a/src/test/java/crankwick/broker/BrokerChangesTest.java
+++ b/src/test/java/crankwick/broker/BrokerChangesTest.java
@@ -4,6 +4,7 @@
 import static org.testng.Assert.assertNull;
 import static org.testng.Assert.assertTrue;
 
+import crankwick.RouterApi;
 import crankwick.RouterApi.Limits;
 import crankwick.RouterApi.ListKind;
 import crankwick.RouterApi.ListRole;
@@ -20,7 +21,6 @@
 import crankwick.RouterApi.Settings;
 import crankwick.RouterApi.Standing;
 import crankwick.RouterApi.WhenBehind;
-import crankwick.RouterApi;
 import crankwick.handover.HandoverSettings;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -35,11 +35,10 @@
     private static final long MS = 1_000;
     private static final long KEY_TTL = 2_000 * MS;
 
-    private record Due(long at, long number, BrokerEvent event) {
-    }
+    private record Due(long at, long number, BrokerEvent event) {}
 
-    private final PriorityQueue<Due> timers = new PriorityQueue<>((x, y) -> x.at != y.at
-            ? Long.compare(x.at, y.at) : Long.compare(x.number, y.number));
+    private final PriorityQueue<Due> timers =
+            new PriorityQueue<>((x, y) -> x.at != y.at ? Long.compare(x.at, y.at) : Long.compare(x.number, y.number));
     private final List<Effect.Send> sends = new ArrayList<>();
     private final Map<Long, Reply> answers = new HashMap<>();
     private final Map<Long, Long> answeredAt = new HashMap<>();
@@ -56,14 +55,26 @@
         probed.clear();
         now = 1_000_000_000;
         refs = 0;
-        Settings settings = new Settings(1, 0, false, true, true, WhenBehind.WAIT, ListRole.LATE,
+        Settings settings = new Settings(
+                1,
+                0,
+                false,
+                true,
+                true,
+                WhenBehind.WAIT,
+                ListRole.LATE,
                 new Rules(20 * MS, 2_000 * MS, false, 0.18, 16_000 * MS, 2.5, 2_000 * MS),
-                new Limits(true, true, true, 2_000 * MS, 8, 250 * MS), new Prices(0.01, 0.02, 0.05),
-                List.of(new RequestClass(Need.WRITE, 0, Repeat.KEYED, Scope.GROUP, KEY_TTL, 750 * MS,
-                        3_000 * MS, 6, 0.5)));
+                new Limits(true, true, true, 2_000 * MS, 8, 250 * MS),
+                new Prices(0.01, 0.02, 0.05),
+                List.of(new RequestClass(
+                        Need.WRITE, 0, Repeat.KEYED, Scope.GROUP, KEY_TTL, 750 * MS, 3_000 * MS, 6, 0.5)));
         broker = new Broker(settings, 3, Map.of("", Contract.UNLIMITED), HandoverSettings.DEFAULT);
-        tell(new BrokerEvent.Listed(ListKind.FULL, List.of(member("a", Role.PRIMARY, Standing.LIVE),
-                member("b", Role.REPLICA, Standing.LIVE), member("c", Role.REPLICA, Standing.LIVE))));
+        tell(new BrokerEvent.Listed(
+                ListKind.FULL,
+                List.of(
+                        member("a", Role.PRIMARY, Standing.LIVE),
+                        member("b", Role.REPLICA, Standing.LIVE),
+                        member("c", Role.REPLICA, Standing.LIVE))));
         report("a", Role.PRIMARY);
     }
 
@@ -81,8 +92,10 @@
             } else if (effect instanceof Effect.Arm e) {
                 timers.add(new Due(now + e.delay(), timers.size() + now, e.event()));
             } else if (effect instanceof Effect.Probe e && probed.containsKey(e.server())) {
-                timers.add(new Due(now + MS, timers.size() + now, new BrokerEvent.Probed(e.server(),
-                        Result.OK, MS, reportOf(probed.get(e.server())))));
+                timers.add(new Due(
+                        now + MS,
+                        timers.size() + now,
+                        new BrokerEvent.Probed(e.server(), Result.OK, MS, reportOf(probed.get(e.server())))));
             }
         }
     }
@@ -107,15 +120,15 @@
 
     private long write(String key, long patience) {
         long ref = ++refs;
-        tell(new BrokerEvent.Taken(new Call(ref, Long.toString(ref), "", 0, 1, 9, RouterApi.NONE, patience,
-                key, 100)));
+        tell(new BrokerEvent.Taken(new Call(ref, Long.toString(ref), "", 0, 1, 9, RouterApi.NONE, patience, key, 100)));
         return ref;
     }
 
     private void ends(long ref, Result result, Role role) {
-        Effect.Send last = sends.stream().filter(s -> s.ref() == ref).reduce((x, y) -> y).orElseThrow();
-        tell(new BrokerEvent.Ended(ref, last.attempt(), result, MS, role,
-                role == Role.UNKNOWN ? RouterApi.NONE : now, null, new byte[1]));
+        Effect.Send last =
+                sends.stream().filter(s -> s.ref() == ref).reduce((x, y) -> y).orElseThrow();
+        tell(new BrokerEvent.Ended(
+                ref, last.attempt(), result, MS, role, role == Role.UNKNOWN ? RouterApi.NONE : now, null, new byte[1]));
     }
 
     private long sent(long ref) {
@@ -123,7 +136,8 @@
     }
 
     private Object answer(long ref) {
-        return answers.get(ref) instanceof Reply.Refused r ? r.reason()
+        return answers.get(ref) instanceof Reply.Refused r
+                ? r.reason()
                 : answers.get(ref) instanceof Reply.Failed f ? f.reason() : answers.get(ref);
     }
 
@@ -159,15 +173,20 @@
         assertEquals(broker.handover().leadership(1).leader(), "b");
         int most = 0;
         for (int i = 0; i < 200 && answers.size() < 21; i++) {
-            List<Effect.Send> out = sends.stream().filter(s -> !answers.containsKey(s.ref())).toList();
+            List<Effect.Send> out =
+                    sends.stream().filter(s -> !answers.containsKey(s.ref())).toList();
             most = Math.max(most, out.size());
-            out.stream().filter(s -> held.contains(s.ref())).findFirst()
+            out.stream()
+                    .filter(s -> held.contains(s.ref()))
+                    .findFirst()
                     .ifPresent(s -> ends(s.ref(), Result.OK, Role.PRIMARY));
             advance(5 * MS);
         }
-        assertTrue(held.stream().allMatch(ref -> sent(ref) == 1 && answers.get(ref) instanceof Reply.Served),
+        assertTrue(
+                held.stream().allMatch(ref -> sent(ref) == 1 && answers.get(ref) instanceof Reply.Served),
                 answers.toString());
-        assertTrue(sends.stream().filter(s -> held.contains(s.ref())).allMatch(s -> s.server().equals("b")));
+        assertTrue(sends.stream().filter(s -> held.contains(s.ref())).allMatch(s -> s.server()
+                .equals("b")));
     }
 
     @Test
--- a/src/test/java/crankwick/broker/BrokerDeadlineTest.java
+++ b/src/test/java/crankwick/broker/BrokerDeadlineTest.java
@@ -39,14 +39,23 @@
     @BeforeMethod
     public void aWriteIsSent() {
         effects.clear();
-        Settings settings = new Settings(1, 0, false, true, true, WhenBehind.WAIT, ListRole.LATE,
+        Settings settings = new Settings(
+                1,
+                0,
+                false,
+                true,
+                true,
+                WhenBehind.WAIT,
+                ListRole.LATE,
                 new Rules(20 * MS, 2_000 * MS, false, 0.18, 16_000 * MS, 2.5, 2_000 * MS),
-                new Limits(false, true, true, 2_000 * MS, 8, 250 * MS), new Prices(0.01, 0.02, 0.05),
-                List.of(new RequestClass(Need.WRITE, 0, Repeat.KEYED, Scope.GROUP, KEY_TTL, 750 * MS,
-                        3_000 * MS, 6, 0.5)));
+                new Limits(false, true, true, 2_000 * MS, 8, 250 * MS),
+                new Prices(0.01, 0.02, 0.05),
+                List.of(new RequestClass(
+                        Need.WRITE, 0, Repeat.KEYED, Scope.GROUP, KEY_TTL, 750 * MS, 3_000 * MS, 6, 0.5)));
         broker = new Broker(settings, 1, Map.of("", Contract.UNLIMITED), null);
-        tell(START, new BrokerEvent.Listed(ListKind.FULL,
-                List.of(new Member("a", 0, 0, Role.PRIMARY, Standing.LIVE, 0))));
+        tell(
+                START,
+                new BrokerEvent.Listed(ListKind.FULL, List.of(new Member("a", 0, 0, Role.PRIMARY, Standing.LIVE, 0))));
         tell(START, new BrokerEvent.Taken(new Call(REF, "1", "", 0, 0, 9, RouterApi.NONE, PATIENCE, "k", 0)));
         assertEquals(sends().size(), 1);
     }
@@ -56,8 +65,7 @@
     }
 
     private void ended(long now, Result result) {
-        tell(now, new BrokerEvent.Ended(REF, sends().size() - 1, result, MS, Role.UNKNOWN, RouterApi.NONE,
-                null, null));
+        tell(now, new BrokerEvent.Ended(REF, sends().size() - 1, result, MS, Role.UNKNOWN, RouterApi.NONE, null, null));
     }
 
     private List<Effect.Send> sends() {
--- a/src/test/java/crankwick/discovery/ListingTest.java
+++ b/src/test/java/crankwick/discovery/ListingTest.java
@@ -18,8 +18,8 @@
     private static final ListCodec CODEC = new ListCodec(List.of("a"));
 
     private static String entry(String id, String state) {
-        return "{\"id\":\"" + id + "\",\"addr\":\"127.0.0.1:1\",\"zone\":\"a\",\"cell\":0,\"state\":\""
-                + state + "\",\"started_ms\":0}";
+        return "{\"id\":\"" + id + "\",\"addr\":\"127.0.0.1:1\",\"zone\":\"a\",\"cell\":0,\"state\":\"" + state
+                + "\",\"started_ms\":0}";
     }
 
     private static String unreadable(String entry) {
@@ -38,7 +38,8 @@
     }
 
     private static Listing listing() {
-        return new Listing(Listing.known(entries(entry("s", "up"), entry("t", "up"))).hosts());
+        return new Listing(
+                Listing.known(entries(entry("s", "up"), entry("t", "up"))).hosts());
     }
 
     /** Guards against a drain passed over because something else of its entry can't be read. */
@@ -54,7 +55,9 @@
         assertEquals(standings(news), Map.of("s", Standing.DRAINING), "half an entry undoes no drain");
         news = listing.take(false, entries(unreadable(entry("s", "odd")), unreadable(entry("t", "removed"))));
         assertEquals(standings(news), Map.of("s", Standing.DRAINING, "t", Standing.GONE));
-        assertEquals(standings(listing.take(false, entries(unreadable(entry("t", "up"))))), Map.of(),
+        assertEquals(
+                standings(listing.take(false, entries(unreadable(entry("t", "up"))))),
+                Map.of(),
                 "what has left is not known any more");
     }
 
@@ -89,8 +92,7 @@
                 List<String> entries = new ArrayList<>(List.of(entry("t", "up")));
                 entries.add(random.nextInt(2), readable ? entry("s", state) : unreadable(entry("s", state)));
                 draining = state.equals("draining") || draining && !(readable && state.equals("up"));
-                Discovery.News news = listing.take(random.nextBoolean(),
-                        entries(entries.toArray(String[]::new)));
+                Discovery.News news = listing.take(random.nextBoolean(), entries(entries.toArray(String[]::new)));
                 assertEquals(standings(news).get("s"), draining ? Standing.DRAINING : Standing.LIVE);
             }
         }
--- a/src/test/java/crankwick/handover/HoldingTest.java
+++ b/src/test/java/crankwick/handover/HoldingTest.java
@@ -15,9 +15,20 @@
 
     private static HandoverSettings bounds(int perGroup, int perTeam, long bytesPerGroup, long bytesPerTeam) {
         HandoverSettings d = HandoverSettings.DEFAULT;
-        return new HandoverSettings(perGroup, perTeam, bytesPerGroup, bytesPerTeam, d.hopeLeast(),
-                d.startWindow(), d.keyMargin(), d.keys(), d.keyMemory(), d.unplannedLeast(),
-                d.unplannedMost(), d.plannedLeast(), d.plannedMost());
+        return new HandoverSettings(
+                perGroup,
+                perTeam,
+                bytesPerGroup,
+                bytesPerTeam,
+                d.hopeLeast(),
+                d.startWindow(),
+                d.keyMargin(),
+                d.keys(),
+                d.keyMemory(),
+                d.unplannedLeast(),
+                d.unplannedMost(),
+                d.plannedLeast(),
+                d.plannedMost());
     }
 
     @Test
--- a/src/test/java/crankwick/handover/KeyRegistryBenchmark.java
+++ b/src/test/java/crankwick/handover/KeyRegistryBenchmark.java
@@ -47,8 +47,10 @@
     @Setup
     public void fill() {
         registry = new KeyRegistry(entries * 2, 17);
-        queue = new HoldQueue(new HandoverSettings(entries + 1, entries + 1, Long.MAX_VALUE, Long.MAX_VALUE,
-                0.05, 4, 0, 1, 0, 1, 1, 1, 1), new HashMap<>());
+        queue = new HoldQueue(
+                new HandoverSettings(
+                        entries + 1, entries + 1, Long.MAX_VALUE, Long.MAX_VALUE, 0.05, 4, 0, 1, 0, 1, 1, 1, 1),
+                new HashMap<>());
         for (int i = 0; i < entries; i++) {
             keyInRegistry();
             queue.add(held(i));
--- a/src/test/java/crankwick/handover/KeyRegistryTest.java
+++ b/src/test/java/crankwick/handover/KeyRegistryTest.java
@@ -42,7 +42,7 @@
         }
 
         private void sweep(long now) {
-            for (Iterator<long[]> it = entries.values().iterator(); it.hasNext();) {
+            for (Iterator<long[]> it = entries.values().iterator(); it.hasNext(); ) {
                 if (it.next()[2] <= now) {
                     it.remove();
                 }
--- a/src/test/java/crankwick/handover/LeadershipTest.java
+++ b/src/test/java/crankwick/handover/LeadershipTest.java
@@ -4,8 +4,8 @@
 import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertTrue;
 
-import crankwick.RouterApi.Role;
 import crankwick.RouterApi;
+import crankwick.RouterApi.Role;
 import crankwick.handover.Leadership.Phase;
 import org.testng.annotations.Test;
 
@@ -83,8 +83,9 @@
     @Test
     public void anAnswerReadLateIsNoNews() {
         Leadership l = ledByB();
-        assertFalse(l.take(new Evidence.Told("b", Role.REPLICA, RouterApi.NONE, T + 4_990 * MS),
-                T + 5_020 * MS), "sent before it took over");
+        assertFalse(
+                l.take(new Evidence.Told("b", Role.REPLICA, RouterApi.NONE, T + 4_990 * MS), T + 5_020 * MS),
+                "sent before it took over");
         assertFalse(l.take(new Evidence.WriteMissed("b", T + 4_995 * MS), T + 5_010 * MS));
         assertEquals(l.phase(), Phase.TAKING_OVER);
         l.take(new Evidence.WriteMissed("b", T + 5_200 * MS), T + 5_210 * MS);
--- a/src/test/java/crankwick/lab/HandoverLabTest.java
+++ b/src/test/java/crankwick/lab/HandoverLabTest.java
@@ -19,8 +19,8 @@
     private final Map<Boolean, List<Map<String, Object>>> runs = new HashMap<>();
 
     private static HandoverLab lab(int failovers, long seed, boolean handover, Fault fault) {
-        return new HandoverLab(new HandoverLab.Options(4, failovers, seed,
-                handover ? HandoverSettings.DEFAULT : null, fault));
+        return new HandoverLab(
+                new HandoverLab.Options(4, failovers, seed, handover ? HandoverSettings.DEFAULT : null, fault));
     }
 
     @DataProvider
@@ -42,9 +42,12 @@
 
     @DataProvider
     public Object[][] faults() {
-        return new Object[][] {{Fault.RESEND_AFTER_WINDOW, "applied_twice"},
-            {Fault.LATE_LIST_BELIEVED, "misdirected"}, {Fault.HELD_SENT_TWICE, "second_attempts"},
-            {Fault.RELEASE_WITHOUT_PACE, "pace_violations"}};
+        return new Object[][] {
+            {Fault.RESEND_AFTER_WINDOW, "applied_twice"},
+            {Fault.LATE_LIST_BELIEVED, "misdirected"},
+            {Fault.HELD_SENT_TWICE, "second_attempts"},
+            {Fault.RELEASE_WITHOUT_PACE, "pace_violations"}
+        };
     }
 
     @Test(dataProvider = "faults")
@@ -74,8 +77,14 @@
     }
 
     private double mean(boolean holding, String figure) {
-        return runs.computeIfAbsent(holding, h -> IntStream.range(11, 15).parallel()
-                        .mapToObj(seed -> lab(200, seed, h, Fault.NONE).run()).toList()).stream()
-                .mapToDouble(run -> ((Number) run.get(figure)).doubleValue()).average().orElseThrow();
+        return runs
+                .computeIfAbsent(holding, h -> IntStream.range(11, 15)
+                        .parallel()
+                        .mapToObj(seed -> lab(200, seed, h, Fault.NONE).run())
+                        .toList())
+                .stream()
+                .mapToDouble(run -> ((Number) run.get(figure)).doubleValue())
+                .average()
+                .orElseThrow();
     }
 }
--- a/src/test/java/crankwick/model/GroupModelTest.java
+++ b/src/test/java/crankwick/model/GroupModelTest.java
@@ -42,8 +42,11 @@
     }
 
     private ModelEffect.Answered answer(long ref) {
-        return effects.stream().filter(e -> e instanceof ModelEffect.Answered a && a.ref() == ref)
-                .map(e -> (ModelEffect.Answered) e).findFirst().orElse(null);
+        return effects.stream()
+                .filter(e -> e instanceof ModelEffect.Answered a && a.ref() == ref)
+                .map(e -> (ModelEffect.Answered) e)
+                .findFirst()
+                .orElse(null);
     }
 
     private long count(Class<? extends ModelEffect> kind) {
--- a/src/test/java/crankwick/simhost/HostTest.java
+++ b/src/test/java/crankwick/simhost/HostTest.java
@@ -58,10 +58,20 @@
     }
 
     @ParameterizedTest
-    @ValueSource(strings = {"go\n", "sync x\ngo\n", "sync 1\nnonsense\ngo\n", "sync 1\n", "sync 1\ngo",
-        "sync 1\ninstance 0\nknock zz - 4 0 1 - 4 1 7\ngo\n", "sync 1\ninstance 0\noutcome 00\ngo\n",
-        "sync 1\ndefine_list 0 1\nsomething\ngo\n", "sync 1\nmembership update 1 9\ngo\n",
-        "sync 1\ninstance 0\nenlist 1 {}\ngo\n", "sync 1\npong Fine 1 a:1 -\ngo\n"})
+    @ValueSource(
+            strings = {
+                "go\n",
+                "sync x\ngo\n",
+                "sync 1\nnonsense\ngo\n",
+                "sync 1\n",
+                "sync 1\ngo",
+                "sync 1\ninstance 0\nknock zz - 4 0 1 - 4 1 7\ngo\n",
+                "sync 1\ninstance 0\noutcome 00\ngo\n",
+                "sync 1\ndefine_list 0 1\nsomething\ngo\n",
+                "sync 1\nmembership update 1 9\ngo\n",
+                "sync 1\ninstance 0\nenlist 1 {}\ngo\n",
+                "sync 1\npong Fine 1 a:1 -\ngo\n"
+            })
     void malformedInputNamesItsLine(String input) {
         WireException e = assertThrows(WireException.class, () -> reply(input));
         assertTrue(e.getMessage().startsWith("line "), e.getMessage());
@@ -69,19 +79,38 @@
     }
 
     @ParameterizedTest
-    @ValueSource(strings = {"slo-ms", "repeat", "freshness", "max-attempts", "start-capacity",
-        "counted-from-ms", "when-behind"})
+    @ValueSource(
+            strings = {
+                "slo-ms",
+                "repeat",
+                "freshness",
+                "max-attempts",
+                "start-capacity",
+                "counted-from-ms",
+                "when-behind"
+            })
     void missingSettingIsNamed(String key) {
         String config = WireScript.CONFIG.replace("\"" + key + "\"", "\"other\"");
-        IllegalArgumentException e =
-                assertThrows(IllegalArgumentException.class, () -> new SettingsCodec(config));
+        IllegalArgumentException e = assertThrows(IllegalArgumentException.class, () -> new SettingsCodec(config));
         assertTrue(e.getMessage().contains(key), e.getMessage());
     }
 
     @ParameterizedTest
-    @ValueSource(strings = {"discovery", "classes", "rules", "report", "family-info.freshness",
-        "family-info.oldest-data-ms", "family-info.stamps", "bounds.probes", "bounds.max-attempts",
-        "charges.probe", "report.fields", "rules.ramp-time-ms"})
+    @ValueSource(
+            strings = {
+                "discovery",
+                "classes",
+                "rules",
+                "report",
+                "family-info.freshness",
+                "family-info.oldest-data-ms",
+                "family-info.stamps",
+                "bounds.probes",
+                "bounds.max-attempts",
+                "charges.probe",
+                "report.fields",
+                "rules.ramp-time-ms"
+            })
     void settingOfTheWrongTypeIsNamed(String path) {
         String[] names = path.split("\\.");
         for (String wrong : new String[] {"{\"odd\":1}", "[[1],[1]]"}) {
@@ -92,8 +121,8 @@
             if (harmless) {
                 continue;
             }
-            IllegalArgumentException e = assertThrows(IllegalArgumentException.class,
-                    () -> new SettingsCodec(root.toString()));
+            IllegalArgumentException e =
+                    assertThrows(IllegalArgumentException.class, () -> new SettingsCodec(root.toString()));
             assertTrue(e.getMessage().startsWith("unusable setting: " + path), e.getMessage());
             assertEquals(1, e.getMessage().lines().count());
         }
@@ -101,12 +130,13 @@
 
     @Test
     void unknownKindsAndNegativeTimesAreNamed() {
-        for (String[] change : new String[][] {{"\"unsafe\"", "\"risky\"", "repeat"},
+        for (String[] change : new String[][] {
+            {"\"unsafe\"", "\"risky\"", "repeat"},
             {"\"session\"", "\"odd\"", "freshness"},
-            {"\"ramp-time-ms\":10000", "\"ramp-time-ms\":-1", "rampTime"}}) {
+            {"\"ramp-time-ms\":10000", "\"ramp-time-ms\":-1", "rampTime"}
+        }) {
             String config = WireScript.CONFIG.replace(change[0], change[1]);
-            IllegalArgumentException e =
-                    assertThrows(IllegalArgumentException.class, () -> new SettingsCodec(config));
+            IllegalArgumentException e = assertThrows(IllegalArgumentException.class, () -> new SettingsCodec(config));
             assertTrue(e.getMessage().contains(change[2]), e.getMessage());
         }
     }
@@ -126,8 +156,10 @@
         writer.fetch();
         writer.log("two servers known");
         writer.flush();
-        assertEquals("at 3\nroute ff3f2b5f5d3a91c4 10.0.0.1:1 80.250\ndecline 0000000000000001 250\n"
-                + "report_failure 0000000000000001\nask_load 10.0.0.1:1\ndrop_attempt 0000000000000001 2\n"
-                + "arm 500 77\ntail 1\nget_list\nsay_log two servers known\nready\n", out.toString());
+        assertEquals(
+                "at 3\nroute ff3f2b5f5d3a91c4 10.0.0.1:1 80.250\ndecline 0000000000000001 250\n"
+                        + "report_failure 0000000000000001\nask_load 10.0.0.1:1\ndrop_attempt 0000000000000001 2\n"
+                        + "arm 500 77\ntail 1\nget_list\nsay_log two servers known\nready\n",
+                out.toString());
     }
 }
--- a/src/test/java/crankwick/simhost/JarIT.java
+++ b/src/test/java/crankwick/simhost/JarIT.java
@@ -19,9 +19,19 @@
     private int run(String input) throws IOException, InterruptedException {
         Path in = Files.writeString(folder.resolve("in"), input);
         String java = Path.of(System.getProperty("java.home"), "bin", "java").toString();
-        return new ProcessBuilder(java, "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-XX:-UsePerfData",
-                "-jar", "target/crankwick.jar", "simhost").redirectInput(in.toFile())
-                .redirectOutput(file("out")).redirectError(file("err")).start().waitFor();
+        return new ProcessBuilder(
+                        java,
+                        "-XX:+UseSerialGC",
+                        "-XX:TieredStopAtLevel=1",
+                        "-XX:-UsePerfData",
+                        "-jar",
+                        "target/crankwick.jar",
+                        "simhost")
+                .redirectInput(in.toFile())
+                .redirectOutput(file("out"))
+                .redirectError(file("err"))
+                .start()
+                .waitFor();
     }
 
     private File file(String name) {
@@ -34,8 +44,8 @@
 
     @Test
     void answersATranscriptAndExitsAtTheEndOfInput() throws Exception {
-        int status = run(WireScript.START
-                + "sync 5001\ninstance 0\nknock 00000000000000ff - 4 0 1 - 4 5801.5 77\ngo\n");
+        int status =
+                run(WireScript.START + "sync 5001\ninstance 0\nknock 00000000000000ff - 4 0 1 - 4 5801.5 77\ngo\n");
         assertEquals(0, status, read("err"));
         assertTrue(read("out").contains("route 00000000000000ff 10.0.0.1:1 -\n"), read("out"));
         assertTrue(read("out").endsWith("ready\n"));
--- a/src/test/java/crankwick/simhost/WireScript.java
+++ b/src/test/java/crankwick/simhost/WireScript.java
@@ -21,6 +21,5 @@
             + "item 10.0.0.1:1 0 0 4 1 live 1 -\nitem 10.0.0.2:1 0 0 4 0 live 1.5 100.0\n"
             + "membership restored 1 0\nwhisper 1 00\ngo\n";
 
-    private WireScript() {
-    }
+    private WireScript() {}
 }
