The last answers come 0.25 s sooner after SIGTERM: the way to the hook and the exit take time

Service counted its 0.6 s from where the shutdown hook's task ran, which left 0.1 s until SIGKILL for the signal's way, the loop and the exit.

Service counts from the platform's own figures: SIGKILL 0.7 s after the longest deadline, which counts as 3 s where it is longer (it did not here: a deployment with 5 s was answered too late); 0.35 s of it for the way and the exit, 0.15 s between the last answers and the end. Who would wait longer is answered then (ClientFront.stopReading).

Checked: CrossingsTest.whoWaitsLongerThanTheProxyHasIsAnsweredBeforeItsEnd fails without stopReading's answers.

--- a/src/main/java/crankwick/app/Main.java
+++ b/src/main/java/crankwick/app/Main.java
@@ -61,10 +61,16 @@
         } catch (IllegalArgumentException e) {
             refuse(e.getMessage());
         }
-        Runtime.getRuntime().addShutdownHook(new Thread(() -> services.forEach(Service::close), "shutdown"));
+        Runtime.getRuntime().addShutdownHook(new Thread(() -> close(services), "shutdown"));
         Thread.currentThread().join();
     }
 
+    /** All fronts end side by side: the time until SIGKILL is the same for each. */
+    private static void close(List<Service> services) {
+        services.forEach(Service::beginClose);
+        services.forEach(Service::awaitClosed);
+    }
+
     /** SIGHUP asks for a reload; the JVM would end on it, so this comes before all else. */
     @SuppressWarnings("sunapi")
     private static void onHangup(Runnable reload) {
--- a/src/main/java/crankwick/app/Service.java
+++ b/src/main/java/crankwick/app/Service.java
@@ -1,5 +1,6 @@
 package crankwick.app;
 
+import crankwick.RouterApi.RequestClass;
 import crankwick.broker.Broker;
 import crankwick.broker.Contract;
 import crankwick.discovery.Discovery;
@@ -28,9 +29,14 @@
     private static final long LINGER = 450_000;
 
     private static final long CLOSE_CHECK = 10_000;
-    private static final long CLOSE_SLACK = 600_000;
+    /** The platform kills no sooner after SIGTERM than the longest deadline, at most this, and this more. */
+    private static final long KILL_AFTER_DEADLINE_MOST = 3_000_000;
+
+    private static final long KILL_AFTER = 700_000;
+    /** From the signal until the shutdown hook runs, and from its end until the process has ended. */
+    private static final long SIGNAL_AND_EXIT = 350_000;
     /** The last answers are made so long before the end: a loop that is late on part of a core included. */
-    private static final long LAST_WORDS = 150_000;
+    private static final long LAST_ANSWERS_BEFORE_END = 150_000;
     /** Shares of the descriptors; the rest is for discovery, files and the transport. */
     private static final double CLIENT_SHARE = 0.42;
 
@@ -111,19 +117,28 @@
         });
     }
 
-    /** Serves on while clients may still come, then answers what is owed, and ends. */
-    void close() {
-        long longest = settings.settings.classes().stream()
-                .mapToLong(c -> c.deadline())
-                .max()
-                .orElse(0);
-        loop.after(LINGER, () -> {
-            long latest = clock.now() + longest + CLOSE_SLACK - LINGER;
-            front.close(latest - LAST_WORDS);
+    /** From the shutdown hook's start, how long the process may still take. */
+    private long timeToEnd() {
+        long longest = 0;
+        for (RequestClass kind : settings.settings.classes()) {
+            longest = Math.max(longest, kind.deadline());
+        }
+        return Math.min(longest, KILL_AFTER_DEADLINE_MOST) + KILL_AFTER - SIGNAL_AND_EXIT;
+    }
+
+    /** Serves on while clients may still come, then answers what is owed. */
+    void beginClose() {
+        long latest = clock.now() + timeToEnd();
+        loop.after(Math.min(LINGER, timeToEnd() / 2), () -> {
+            front.close(latest - LAST_ANSWERS_BEFORE_END);
             awaitEnd(latest);
         });
+    }
+
+    /** Waits until all is answered, or the time for it is over. */
+    void awaitClosed() {
         try {
-            closed.await(longest + CLOSE_SLACK + LINGER, TimeUnit.MICROSECONDS);
+            closed.await(timeToEnd() + LAST_ANSWERS_BEFORE_END, TimeUnit.MICROSECONDS);
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
--- a/src/main/java/crankwick/net/ClientFront.java
+++ b/src/main/java/crankwick/net/ClientFront.java
@@ -130,8 +130,14 @@
         }
     }
 
-    /** What clients send on connections that never become idle is left unread: no time is left for it. */
+    /**
+     * No time is left: who waits longer than this has failed, and what clients send on connections that never
+     * become idle is left unread.
+     */
     private void stopReading() {
+        for (long ref : List.copyOf(open.keySet())) {
+            runner.tell(new BrokerEvent.DeadlineDue(ref));
+        }
         for (ClientSession session : List.copyOf(sessions)) {
             session.stopReading();
             flush(session);
--- a/src/test/java/crankwick/app/CrossingsTest.java
+++ b/src/test/java/crankwick/app/CrossingsTest.java
@@ -26,6 +26,24 @@
         }
     }
 
+    /** Guards against a request that wants more time than is left being still open at the end. */
+    @Test(timeOut = TEST_TIMEOUT_MS)
+    public void whoWaitsLongerThanTheProxyHasIsAnsweredBeforeItsEnd() throws Exception {
+        try (HeldFront proxy = new HeldFront(10);
+                HeldFront.Client client = proxy.new Client()) {
+            proxy.database.word = "SILENT";
+            client.write("1", 20_000);
+            while (proxy.ledger.sent("1") == 0) {
+                Thread.sleep(1);
+            }
+            long latest = proxy.clock.now() + 500 * HeldFront.MS;
+            proxy.onLoop(() -> proxy.front.close(latest));
+            assertEquals(client.answer(), "Failed");
+            assertNull(client.answer());
+            assertTrue(proxy.clock.now() >= latest);
+        }
+    }
+
     /** A connection has been idle for its whole time, and its command has just been read. */
     @Test(timeOut = TEST_TIMEOUT_MS)
     public void commandReadAsItsIdleConnectionEndsIsAnswered() throws Exception {
