Router: the field's names for health, retries, probes and learning

The issue on readable code, names, in the decision module first. Old name: new name. Health: strike(s): recentFaults; leaveOut, outUntil, outSince: eject, ejectedUntil, ejectedSince; sound: isHealthy; silent: isSilent; evident: isRecentlyHeard; usable: isUsable; failed, unreachable: recordFailure, recordUnreachable; startedAnew: markRestarted; heard, heardAt: markAlive, lastHeardAt. Learning: hear...: learn...; sample: learnDuration; cut: lowerLimit; usual: typical; use, queue: utilization, queued; left: remaining. Probes: ask...: probe...; askable: mayProbe; probeCredit, dear, doubt: probeBudget, probePriceFactor, longRunningFactor. Retries: resends: retryBudget; ranAt, ranSince: mayHaveRunAt, mayHaveRunSince. Dispatch: settle, drain: dispatch, dispatchQueue; out: outstanding; at: server; scout: primarySeeker; dueAt: nextLookAt; checkWork, lost: checkAttempts, looksLost; inTime, useful, calm: isInTime, lastUsefulAt, calmDuration. Reads: owed: requiredPosition; spare, full, bereft: primaryIsIdle, replicasFull, noReplicaAnswers; crowd, crowded: isLargeFleet, isOverloaded; unknown: hasNoMembers. learnPosition and setListed are their owner's, RouterState.Server. Checked: the module's tests, unchanged, pass.

--- a/src/main/java/crankwick/Router.java
+++ b/src/main/java/crankwick/Router.java
@@ -37,36 +37,36 @@
 
     private static final double BELIEF_GAPS = 4;
     /** An asked member silent for so long: is passed over; has safe work withdrawn; counts as lost. */
-    private static final long ASK_WAIT = 25 * MS;
+    private static final long PROBE_WAIT = 25 * MS;
 
     private static final long SILENCE = 80 * MS;
     private static final long LOST_AFTER = 400 * MS;
     /** A member is asked again after about a report's period; later if silent or far behind a token. */
-    private static final long ASK_AGAIN = 80 * MS;
+    private static final long PROBE_AGAIN = 80 * MS;
 
-    private static final long ASK_FAR = 500 * MS;
-    private static final long ASK_REACH = SECOND;
+    private static final long PROBE_FAR = 500 * MS;
+    private static final long PROBE_REACH = SECOND;
     /** Probes earned by each request: at most, and as points spent on them; saved up for a start. */
     private static final double PROBE_EARN = 1;
 
     private static final double PROBE_POINTS = 0.03;
-    private static final double PROBE_MAX = 40;
+    private static final double PROBE_BUDGET_MAX = 40;
     /**
      * Work that takes this many times what is expected there makes its member be asked, more by the second
      * for each e-fold that probes are dearer: the longest works are exponentially fewer.
      */
-    private static final double DOUBT = 2.5;
+    private static final double LONG_RUNNING = 2.5;
 
-    private static final double DOUBT_RISE = 2;
+    private static final double LONG_RUNNING_RISE = 2;
     /** At this price of probes, in points for one a request, the spans between questions are as stated. */
     private static final double PROBE_PRICE = 0.02;
     /** Work out this many calm durations at a free member is taken for lost. */
     private static final double OVERDUE = 5;
-    /** A class's usual duration is held at a low quantile, so that overload hardly lifts it. */
+    /** A class's typical duration is held at a low quantile, so that overload hardly lifts it. */
     private static final double CLASS_GAIN = 0.02;
 
     private static final double CLASS_QUANTILE = 0.3;
-    /** A member's latency in usual durations: the mean over that quantile, unless it has shown another. */
+    /** A member's latency in typical durations: the mean over that quantile, unless it has shown another. */
     private static final double LATENCY_CALM = 1.8;
 
     private static final double LATENCY_GAIN = 0.2;
@@ -85,7 +85,7 @@
 
     private static final double SPARE_USE = 0.8;
     /** Lag of a busy replica at which the worthiest class leaves it alone; others at their share of it. */
-    private static final long CROWDED_LAG = 1_500 * MS;
+    private static final long OVERLOADED_LAG = 1_500 * MS;
     /** The draw's weight falls with this power of what is expected; 1 leaves queues too uneven. */
     private static final double DRAW_POWER = 2;
     /** How much a price on crossing zones makes a far member look slower. */
@@ -104,11 +104,11 @@
     private static final double EJECT_FAILURES = 0.5;
 
     private static final double FAILURE_GAIN = 0.2;
-    /** First exclusion, past short pauses; it doubles with each strike, and strikes fade. */
+    /** First exclusion, past short pauses; it doubles with each recent fault, and faults fade. */
     private static final long EJECT_FIRST = 400 * MS;
 
     private static final long EJECT_MAX = 4 * SECOND;
-    private static final long STRIKE_MEMORY = 10 * SECOND;
+    private static final long FAULT_MEMORY = 10 * SECOND;
     /** Where replicas check reads: how far behind one may be to be tried (a report's age), and its rest. */
     private static final long CLOSE_BEHIND = 500 * MS;
 
@@ -123,13 +123,13 @@
     private static final double USE_GAIN = 0.05;
     private static final double USE_LEAST = 0.4;
     /** Further attempts for each request taken, and how many may be saved up. */
-    private static final double RESEND_EARN = 0.25;
+    private static final double RETRY_EARN = 0.25;
 
-    private static final double RESEND_MAX = 30;
+    private static final double RETRY_BUDGET_MAX = 30;
     /** Final answers come this long before the client leaves. */
     private static final long GIVE_UP_MARGIN = 30 * MS;
     /** A client with less of an aim left than this came impatient; it is no later try. */
-    private static final double IMPATIENT = 0.65;
+    private static final double IMPATIENT_SHARE = 0.65;
 
     private static final long DISCOVERY_BACKOFF = 500 * MS;
     private static final long WATCH_TIMER = 0;
@@ -149,16 +149,16 @@
     private final Map<Long, Group> groups = new LinkedHashMap<>();
     private final Map<Long, Pending> open = new HashMap<>();
     private final List<Integer> classOrder = new ArrayList<>();
-    private final List<QuantileEstimate> usual = new ArrayList<>();
+    private final List<QuantileEstimate> typicalDurations = new ArrayList<>();
     private final List<FirstTryPatience> firstTries = new ArrayList<>();
     private final double probeEarn;
     /** How many times dearer than that probes are, 1 at least. */
-    private final double dear;
+    private final double probePriceFactor;
 
-    private final double doubt;
-    private double mostWorth;
-    private double resends = RESEND_MAX;
-    private double probeCredit = PROBE_MAX;
+    private final double longRunningFactor;
+    private double highestWorth;
+    private double retryBudget = RETRY_BUDGET_MAX;
+    private double probeBudget = PROBE_BUDGET_MAX;
     /** Whether asking a member can tell how busy it is. */
     private boolean reportsLoad;
 
@@ -167,8 +167,8 @@
     private final Map<Role, FadingMean> roleLatency = new EnumMap<>(Role.class);
     private long discoveryBackoff = DISCOVERY_BACKOFF;
     private long now;
-    private long belief;
-    private Actions act;
+    private long beliefSpan;
+    private Actions actions;
 
     /** Creates a router; the same settings, seed and events give the same actions. */
     public Router(Settings settings, long seed) {
@@ -177,17 +177,17 @@
         List<RequestClass> classes = settings.classes();
         probeEarn = Math.min(
                 PROBE_EARN, PROBE_POINTS / Math.max(1e-9, settings.prices().probe()));
-        dear = Math.max(1, settings.prices().probe() / PROBE_PRICE);
-        doubt = DOUBT + DOUBT_RISE * Math.log(dear);
+        probePriceFactor = Math.max(1, settings.prices().probe() / PROBE_PRICE);
+        longRunningFactor = LONG_RUNNING + LONG_RUNNING_RISE * Math.log(probePriceFactor);
         for (Role role : Role.values()) {
             roleLatency.put(role, new FadingMean(ROLE_GAIN, LATENCY_CALM, LATENCY_MEMORY));
         }
         for (int i = 0; i < classes.size(); i++) {
-            usual.add(new QuantileEstimate(
+            typicalDurations.add(new QuantileEstimate(
                     CLASS_GAIN, CLASS_QUANTILE, classes.get(i).aim() / 8.0));
             firstTries.add(new FirstTryPatience(GIVE_UP_MARGIN));
             classOrder.add(i);
-            mostWorth = Math.max(mostWorth, classes.get(i).worth());
+            highestWorth = Math.max(highestWorth, classes.get(i).worth());
         }
         classOrder.sort((a, b) -> Double.compare(worthByAim(b), worthByAim(a)));
     }
@@ -199,8 +199,8 @@
     /** Takes one event at the caller's time and carries its decisions out on {@code actions}. */
     public void handle(long time, Event event, Actions actions) {
         now = time;
-        act = actions;
-        belief = belief();
+        this.actions = actions;
+        beliefSpan = beliefSpan();
         if (event instanceof Request r) {
             onRequest(r);
         } else if (event instanceof Outcome o) {
@@ -221,35 +221,35 @@
     private void onRequest(Request r) {
         RequestClass kind = settings.classes().get(r.cls());
         // Guards against a group for each number that clients make up: one without members is not kept.
-        Group g = groups.getOrDefault(r.group(), new Group(r.group(), usual.size()));
+        Group g = groups.getOrDefault(r.group(), new Group(r.group(), typicalDurations.size()));
         Pending p = new Pending(r, kind, g, tokenOf(r, kind, g), firstAsked(r, kind));
         open.put(r.id(), p);
-        resends = Math.min(RESEND_MAX, resends + RESEND_EARN);
-        probeCredit = Math.min(PROBE_MAX, probeCredit + probeEarn);
+        retryBudget = Math.min(RETRY_BUDGET_MAX, retryBudget + RETRY_EARN);
+        probeBudget = Math.min(PROBE_BUDGET_MAX, probeBudget + probeEarn);
         p.group.waiting.get(r.cls()).addFirst(p);
-        settle(p.group);
+        dispatch(p.group);
     }
 
     private void onOutcome(Outcome o) {
         Pending p = open.get(o.id());
-        if (p == null || p.at == null || !p.at.id.equals(o.server()) || o.attempt() != p.attempts - 1) {
+        Server s = p == null ? null : p.server;
+        if (s == null || !s.id.equals(o.server()) || o.attempt() != p.attempts - 1) {
             return;
         }
-        Server s = p.at;
-        p.at = null;
-        p.group.out.remove(o.id());
+        p.server = null;
+        p.group.outstanding.remove(o.id());
         s.inFlight--;
-        learn(s, p, o);
-        if (!o.result().provesNotRun() && o.result() != Result.OK && p.ranAt == null) {
-            p.ranAt = s;
-            p.ranSince = p.sentAt;
+        learnOutcome(s, p, o);
+        if (!o.result().provesNotRun() && o.result() != Result.OK && p.mayHaveRunAt == null) {
+            p.mayHaveRunAt = s;
+            p.mayHaveRunSince = p.sentAt;
         }
         if (o.closed() || p.closed) {
             close(p);
         } else {
             retry(p, s, o.result());
         }
-        settle(p.group);
+        dispatch(p.group);
     }
 
     private void onProbe(ProbeResult p) {
@@ -259,35 +259,35 @@
         }
         s.probeOut = false;
         if (p.result() == Result.OK || p.result() == Result.FULL) {
-            heard(s);
+            markAlive(s);
         } else if (p.result() == Result.UNREACHABLE) {
-            unreachable(s, p.duration());
+            recordUnreachable(s, p.duration());
         } else if (p.result() == Result.STALE || p.result() == Result.DROPPED) {
-            s.probedAt = now - ASK_AGAIN;
+            s.probedAt = now - PROBE_AGAIN;
         } else {
-            strike(s);
+            s.recentFaults.add(now);
         }
-        hearReport(s, p.report());
-        settle(s.group);
+        learnReport(s, p.report());
+        dispatch(s.group);
     }
 
     private void onMembership(Membership m) {
         if (m.kind() == ListKind.UNAVAILABLE) {
-            act.arm(jitter(discoveryBackoff), WATCH_TIMER);
+            actions.arm(jitter(discoveryBackoff), WATCH_TIMER);
             discoveryBackoff = Math.min(8 * DISCOVERY_BACKOFF, discoveryBackoff * 2);
             return;
         }
         if (m.kind() == ListKind.RESTORED && settings.asksDiscovery()) {
-            act.arm(1 + random.nextLong(100 * MS), WATCH_TIMER);
+            actions.arm(1 + random.nextLong(100 * MS), WATCH_TIMER);
         } else {
             discoveryBackoff = DISCOVERY_BACKOFF;
         }
         if (m.kind() != ListKind.CHANGES) {
-            servers.values().forEach(s -> unlist(s, true));
+            servers.values().forEach(s -> s.setListed(false, now));
         }
-        m.members().forEach(this::hearListed);
+        m.members().forEach(this::learnListing);
         forgetGone();
-        groups.values().forEach(this::settle);
+        groups.values().forEach(this::dispatch);
     }
 
     /** Guards against keeping, for good, each server there ever was. */
@@ -297,11 +297,11 @@
             g.primary = g.members.contains(g.primary) ? g.primary : null;
         }
         servers.values().removeIf(s -> !s.group.members.contains(s));
-        groups.values().removeIf(g -> g.members.isEmpty() && g.out.isEmpty());
+        groups.values().removeIf(g -> g.members.isEmpty() && g.outstanding.isEmpty());
     }
 
     private boolean isLongGone(Server s) {
-        long lastKnown = Math.max(s.unlistedAt, s.heardAt);
+        long lastKnown = Math.max(s.unlistedAt, s.lastHeardAt);
         return !s.listed && s.inFlight == 0 && now - lastKnown > GONE_MEMORY;
     }
 
@@ -312,11 +312,11 @@
 
     private void onTimer(long ref) {
         if (ref == WATCH_TIMER) {
-            act.watch();
+            actions.watch();
         } else if (groups.containsKey(ref - 1)) {
             Group g = groups.get(ref - 1);
-            g.dueAt = now >= g.dueAt ? Long.MAX_VALUE : g.dueAt;
-            settle(g);
+            g.nextLookAt = now >= g.nextLookAt ? Long.MAX_VALUE : g.nextLookAt;
+            dispatch(g);
         }
     }
 
@@ -324,37 +324,24 @@
         return groups.computeIfAbsent(id, k -> new Group(k, settings.classes().size()));
     }
 
-    private void unlist(Server s, boolean gone) {
-        s.unlistedAt = gone && s.listed ? now : s.unlistedAt;
-        s.listed = !gone;
-    }
-
-    private void hearListed(Member m) {
+    private void learnListing(Member m) {
         Server s = servers.get(m.server());
         if (s == null) {
-            s = new Server(m, group(m.group()), new DecayingCount(STRIKE_MEMORY));
+            s = new Server(m, group(m.group()), new DecayingCount(FAULT_MEMORY));
             s.latency = LATENCY_CALM;
             s.limit = Math.max(1, LIMIT_START / settings.instances());
             servers.put(s.id, s);
             s.group.members.add(s);
             s.group.members.sort((a, b) -> a.id.compareTo(b.id));
         }
-        unlist(s, m.standing() == Standing.GONE);
+        s.setListed(m.standing() != Standing.GONE, now);
         s.draining = m.standing() == Standing.DRAINING || s.draining && !s.listed;
         if (m.startedAt() > s.startedAt) {
-            startedAnew(s, m.startedAt(), " started anew");
+            markRestarted(s, m.startedAt(), " started anew");
         }
         // The list's role is a hint: anything heard from the server itself is newer.
         if (settings.listRole() != ListRole.OFF && m.role() == Role.PRIMARY && s.role == Role.UNKNOWN) {
-            hearRole(s, Role.PRIMARY, Long.MIN_VALUE + 1);
-        }
-    }
-
-    /** One path for all evidence of a position: it never falls. */
-    private void hearPosition(Server s, long position) {
-        if (position > s.position) {
-            s.position = position;
-            s.positionAt = now;
+            learnRole(s, Role.PRIMARY, Long.MIN_VALUE + 1);
         }
     }
 
@@ -362,7 +349,7 @@
      * One path for all evidence of a role; the newest wins. A primary's position is the present, so a
      * report's position dates a claim to be primary, and a later claim to be replica must lie past it.
      */
-    private void hearRole(Server s, Role role, long asOf) {
+    private void learnRole(Server s, Role role, long asOf) {
         if (role == Role.UNKNOWN || asOf < s.roleAsOf) {
             return;
         }
@@ -375,91 +362,91 @@
         }
         s.group.primary = best;
         if (best != before && (best == null || before != null)) {
-            act.log("group " + s.group.id + " primary " + (best == null ? "unknown" : best.id));
+            actions.log("group " + s.group.id + " primary " + (best == null ? "unknown" : best.id));
         }
     }
 
     /** A report counts everybody's work: what waits there, or what is held beyond a few in work. */
-    private void hearReport(Server s, Report r) {
+    private void learnReport(Server s, Report r) {
         if (r == null) {
             return;
         }
-        s.use = Double.isNaN(r.utilization()) ? 0 : r.utilization();
+        s.utilization = Double.isNaN(r.utilization()) ? 0 : r.utilization();
         double waiting = Double.isNaN(r.backlog()) ? r.inFlight() - PARALLEL : r.backlog();
         reportsLoad |= !Double.isNaN(waiting) || !Double.isNaN(r.utilization());
-        s.queue = Double.isNaN(waiting) ? 0 : Math.max(0, waiting);
+        s.queued = Double.isNaN(waiting) ? 0 : Math.max(0, waiting);
         s.reportAt = now;
         if (warmth(s) >= 1) {
-            fleetUse += USE_GAIN * (s.use - fleetUse);
+            fleetUse += USE_GAIN * (s.utilization - fleetUse);
         }
         if (r.position() != NONE) {
-            hearPosition(s, r.position());
-            hearRole(s, r.role(), r.position());
+            s.learnPosition(r.position(), now);
+            learnRole(s, r.role(), r.position());
             if (s.role == Role.REPLICA && now - s.position > LATE_LAG) {
-                cut(s);
+                lowerLimit(s);
             }
         }
     }
 
-    private void heard(Server s) {
-        s.heardAt = now;
+    private void markAlive(Server s) {
+        s.lastHeardAt = now;
         s.silentSince = NONE;
         if (s.down) {
             // Guards against a restart that the list has not told yet: what refused connections and now
             // answers has a fresh process. It hurts where a connection limit was the cause: a slow start.
             s.down = false;
-            startedAnew(s, now, " answers again");
+            markRestarted(s, now, " answers again");
         }
     }
 
-    private void learn(Server s, Pending p, Outcome o) {
+    private void learnOutcome(Server s, Pending p, Outcome o) {
         boolean commit = p.kind.need() == Need.WRITE && o.result() == Result.OK;
         if (o.position() != NONE && (o.role() == Role.PRIMARY || o.role() == Role.REPLICA && !commit)) {
-            hearPosition(s, o.position());
+            s.learnPosition(o.position(), now);
         }
-        hearRole(s, o.role(), now - 5 * MS);
-        hearReport(s, o.report());
+        learnRole(s, o.role(), now - 5 * MS);
+        learnReport(s, o.report());
         if (commit) {
-            remember(p, o.position());
+            rememberCommit(p, o.position());
         }
         if (TIMED.contains(o.result())) {
-            roleLatency.get(s.role).learn(o.duration() / usual(p), now);
+            roleLatency.get(s.role).learn(o.duration() / typical(p), now);
         }
         if (o.result() == Result.OK) {
-            sample(s, p, o.duration());
+            learnDuration(s, p, o.duration());
             readmit(s, p);
         } else if (FAILURES.contains(o.result())) {
-            failed(s);
+            recordFailure(s);
         }
         if (o.result() == Result.MISS) {
             s.missedAt = now;
         } else if (o.result() == Result.FULL || o.result() == Result.TIMEOUT) {
-            cut(s);
+            lowerLimit(s);
         } else if (o.result() == Result.UNREACHABLE) {
-            unreachable(s, o.duration());
+            recordUnreachable(s, o.duration());
         }
         if (LIFE.contains(o.result())) {
-            heard(s);
+            markAlive(s);
         }
     }
 
-    private void sample(Server s, Pending p, long duration) {
-        usual.get(p.request.cls()).learn(duration);
-        s.latency = latency(s) + LATENCY_GAIN * (duration / usual(p) - latency(s));
+    private void learnDuration(Server s, Pending p, long duration) {
+        typicalDurations.get(p.request.cls()).learn(duration);
+        s.latency = latency(s) + LATENCY_GAIN * (duration / typical(p) - latency(s));
         s.latencyAt = now;
         if (duration > LATE_SHARE * p.kind.aim()) {
-            cut(s);
+            lowerLimit(s);
         } else {
             s.limit += Math.min(LIMIT_RISE * s.limit, 1 / s.limit);
         }
     }
 
-    private void cut(Server s) {
+    private void lowerLimit(Server s) {
         s.limit = Math.max(Math.min(1, LIMIT_MIN / settings.instances()), s.limit * LIMIT_CUT);
     }
 
-    private double usual(Pending p) {
-        return usual.get(p.request.cls()).value();
+    private double typical(Pending p) {
+        return typicalDurations.get(p.request.cls()).value();
     }
 
     private double latency(Server s) {
@@ -467,7 +454,7 @@
             return s.latency;
         }
         double otherwise = s.role == Role.REPLICA ? roleLatency(s.role) : LATENCY_CALM;
-        return otherwise + left(s.latencyAt, LATENCY_MEMORY) * (s.latency - otherwise);
+        return otherwise + remaining(s.latencyAt, LATENCY_MEMORY) * (s.latency - otherwise);
     }
 
     /**
@@ -480,23 +467,23 @@
 
     /** Usual durations that an answer takes there: as its answers have it, or as its report does. */
     private double expected(Server s) {
-        double busy = s.use * s.use * s.use + s.queue * QUEUE_STEP;
-        return Math.max(latency(s), LATENCY_CALM + left(s.reportAt, QUEUE_MEMORY) * busy);
+        double busy = s.utilization * s.utilization * s.utilization + s.queued * QUEUE_STEP;
+        return Math.max(latency(s), LATENCY_CALM + remaining(s.reportAt, QUEUE_MEMORY) * busy);
     }
 
     /** How much is left of what was learnt then, from 1 down to 0. */
-    private double left(long then, long memory) {
+    private double remaining(long then, long memory) {
         return Math.max(0, 1 - (now - then) / (double) memory);
     }
 
-    private void remember(Pending p, long commit) {
+    private void rememberCommit(Pending p, long commit) {
         if (settings.tokensCarried() || p.request.session() == NONE || commit == NONE) {
             return;
         }
         p.group.tokens.remember(p.request.session(), commit);
     }
 
-    /** The token a read owes at its arrival; a bounded read's moves with time, see {@link #owed}. */
+    /** The token a read owes at its arrival; a bounded read's moves, see {@link #requiredPosition}. */
     private long tokenOf(Request r, RequestClass kind, Group g) {
         if (kind.need() != Need.SESSION) {
             return Long.MIN_VALUE;
@@ -507,13 +494,13 @@
         return g.tokens.get(r.session());
     }
 
-    private long owed(Pending p) {
+    private long requiredPosition(Pending p) {
         return p.kind.need() == Need.BOUNDED ? now - p.kind.bound() : p.token;
     }
 
     /** Known past the token, by the position it has told. */
-    private boolean freshEnough(Server s, Pending p) {
-        long owed = owed(p);
+    private boolean isFreshEnough(Server s, Pending p) {
+        long owed = requiredPosition(p);
         return owed == Long.MIN_VALUE || s.position >= owed;
     }
 
@@ -521,10 +508,10 @@
      * Where replicas check reads themselves: one is taken to be as far behind as when last heard, or level
      * if never. A miss costs a round trip, tells the position, and sends the read back to the wait.
      */
-    private boolean perhapsFreshEnough(Server s, Pending p) {
+    private boolean mayBeFreshEnough(Server s, Pending p) {
         boolean close = s.positionAt - s.position < CLOSE_BEHIND;
         long gained = Math.max(close ? CLOSE_BEHIND : 0, now - s.positionAt);
-        boolean perhaps = s.position == Long.MIN_VALUE || owed(p) - s.position < gained;
+        boolean perhaps = s.position == Long.MIN_VALUE || requiredPosition(p) - s.position < gained;
         return perhaps && now - s.missedAt > MISS_REST;
     }
 
@@ -547,16 +534,16 @@
         if (s.zone != settings.zone()) {
             cost *= 1 + ZONE_AVERSION * settings.prices().crossZone();
         }
-        double sound = (1 - s.failures) / (1 + strikes(s));
+        double sound = (1 - s.failures) / (1 + s.recentFaults.at(now));
         return Math.pow(cost, -DRAW_POWER) * sound * sound + 1e-12;
     }
 
     private Server readTarget(Pending p) {
-        Server s = draw(p, m -> freshEnough(m, p) && usable(m, p));
+        Server s = draw(p, m -> isFreshEnough(m, p) && isUsable(m, p));
         if (s == null && settings.whenBehind() != WhenBehind.SERVE) {
-            s = draw(p, m -> perhapsFreshEnough(m, p) && usable(m, p));
+            s = draw(p, m -> mayBeFreshEnough(m, p) && isUsable(m, p));
         }
-        return s == null && (bereft(p.group) || spare(p)) ? primaryTarget(p) : s;
+        return s == null && (noReplicaAnswers(p.group) || primaryIsIdle(p)) ? primaryTarget(p) : s;
     }
 
     /**
@@ -565,24 +552,26 @@
      * crowded replicas beside an idle primary; it may hurt when many gateways read the same report. Where
      * they are many and no report tells load, primaries on the whole must answer as in calm.
      */
-    private boolean spare(Pending p) {
+    private boolean primaryIsIdle(Pending p) {
         Server primary = p.group.primary;
         return primary != null
-                && (reportsLoad || !crowd() || roleLatency(Role.PRIMARY) <= LATENCY_CALM)
-                && showsFree(primary, SPARE_USE)
-                && full(p)
-                && p.group.out.values().stream().noneMatch(o -> o.at == primary && needsPrimary(o));
+                && (reportsLoad || !isLargeFleet() || roleLatency(Role.PRIMARY) <= LATENCY_CALM)
+                && reportsIdle(primary, SPARE_USE)
+                && replicasFull(p)
+                && p.group.outstanding.values().stream()
+                        .filter(o -> o.server == primary)
+                        .noneMatch(this::needsPrimary);
     }
 
     /** Every sound replica was heard lately, and one at least is past the token. */
-    private boolean full(Pending p) {
+    private boolean replicasFull(Pending p) {
         boolean past = false;
         for (Server s : p.group.members) {
-            if (s != p.group.primary && s.role != Role.PRIMARY && sound(s)) {
-                if (!evident(s)) {
+            if (s != p.group.primary && s.role != Role.PRIMARY && isHealthy(s)) {
+                if (!isRecentlyHeard(s)) {
                     return false;
                 }
-                past |= freshEnough(s, p);
+                past |= isFreshEnough(s, p);
             }
         }
         return past;
@@ -592,9 +581,9 @@
      * Exception to the design: with every replica gone, failing or long silent, nobody else can answer, so
      * reads may use the primary until a replica answers again. May hurt where the primary has no room.
      */
-    private boolean bereft(Group g) {
+    private boolean noReplicaAnswers(Group g) {
         for (Server s : g.members) {
-            if (s != g.primary && listed(s) && s.outUntil == NONE && !silent(s, LOST_AFTER)) {
+            if (s != g.primary && isListed(s) && s.ejectedUntil == NONE && !isSilent(s, LOST_AFTER)) {
                 return false;
             }
         }
@@ -602,14 +591,14 @@
     }
 
     /** After any news of a group: what can go goes, what must be known is asked, the next look is armed. */
-    private void settle(Group g) {
-        checkWork(g);
+    private void dispatch(Group g) {
+        checkAttempts(g);
         for (boolean onTime : new boolean[] {true, false}) {
             for (int cls : classOrder) {
-                drain(g, cls, onTime);
+                dispatchQueue(g, cls, onTime);
             }
         }
-        ask(g);
+        probeForEvidence(g);
         schedule(g);
     }
 
@@ -617,17 +606,17 @@
      * What can still make its aim goes first, the worthiest class first, then what is late. In a class the
      * newest goes first: in overload the oldest would each be served just too late.
      */
-    private void drain(Group g, int cls, boolean onTime) {
+    private void dispatchQueue(Group g, int cls, boolean onTime) {
         boolean full = false;
         Iterator<Pending> it = g.waiting.get(cls).iterator();
         while (it.hasNext()) {
             Pending p = it.next();
             if (p.closed) {
                 it.remove();
-            } else if (now + calm(p) > useful(p) || unknown(g)) {
+            } else if (now + calmDuration(p) > lastUsefulAt(p) || hasNoMembers(g)) {
                 it.remove();
                 giveUp(p);
-            } else if (!full && onTime == now + calm(p) < p.askedAt + p.kind.aim()) {
+            } else if (!full && onTime == now + calmDuration(p) < p.askedAt + p.kind.aim()) {
                 Server s = needsPrimary(p) ? primaryTarget(p) : readTarget(p);
                 if (s != null) {
                     it.remove();
@@ -639,24 +628,24 @@
         }
     }
 
-    private double calm(Pending p) {
-        return usual(p) * LATENCY_CALM;
+    private double calmDuration(Pending p) {
+        return typical(p) * LATENCY_CALM;
     }
 
     /** The last moment at which an answer is worth anything. */
-    private long useful(Pending p) {
+    private long lastUsefulAt(Pending p) {
         long last = p.request.expires() - GIVE_UP_MARGIN;
         return p.kind.lateWorth() > 0 ? last : Math.min(last, p.askedAt + p.kind.aim());
     }
 
     /**
      * First tries of a class bring the same time, the last ones what is left of the first one's deadline; so
-     * a time that is not the usual one tells when the client first asked, and its aim counts from then.
+     * a time that is not the typical one tells when the client first asked, and its aim counts from then.
      * Guards against work for retries that can only come too late; it may hurt where patience differs.
      */
     private long firstAsked(Request r, RequestClass kind) {
         long left = r.expires() - now;
-        if (left < IMPATIENT * kind.aim()) {
+        if (left < IMPATIENT_SHARE * kind.aim()) {
             return now;
         }
         boolean first = firstTries.get(r.cls()).isFirstTry(left);
@@ -664,33 +653,34 @@
     }
 
     /** Load shedding: no member gets what it can't be expected to answer in time; late work only if calm. */
-    private boolean inTime(Server s, Pending p) {
+    private boolean isInTime(Server s, Pending p) {
         long aim = p.kind.aim();
-        double done = now + usual(p) * expected(s);
-        return !crowded(s, p) && done < Math.min(useful(p), Math.max(p.askedAt + aim, now + aim / 2));
+        double done = now + typical(p) * expected(s);
+        double latest = Math.max(p.askedAt + aim, now + aim / 2);
+        return !isOverloaded(s, p) && done < Math.min(lastUsefulAt(p), latest);
     }
 
     /**
      * A replica busy and behind takes only what is worth it. With more gateways than it bears requests, their
      * own limits can't keep its log's thread from starving. It may hurt where lag has another cause.
      */
-    private boolean crowded(Server s, Pending p) {
-        return crowd()
+    private boolean isOverloaded(Server s, Pending p) {
+        return isLargeFleet()
                 && now - s.reportAt <= FRESH
-                && s.use > FULL_USE
+                && s.utilization > FULL_USE
                 && s.role == Role.REPLICA
-                && s.positionAt - s.position > CROWDED_LAG * p.kind.worth() / mostWorth;
+                && s.positionAt - s.position > OVERLOADED_LAG * p.kind.worth() / highestWorth;
     }
 
     /** More gateways than a member bears requests: their own limits, one request at least, bind nobody. */
-    private boolean crowd() {
+    private boolean isLargeFleet() {
         return settings.instances() > LIMIT_START;
     }
 
     /** No member is known, as after a restart with an empty list: another gateway may know one. */
-    private boolean unknown(Group g) {
+    private boolean hasNoMembers(Group g) {
         for (Server s : g.members) {
-            if (listed(s)) {
+            if (isListed(s)) {
                 return false;
             }
         }
@@ -699,11 +689,11 @@
 
     private void giveUp(Pending p) {
         if (mayRefuse(p)) {
-            long away = unknown(p.group) ? ASK_AGAIN : p.kind.aim() * 2;
+            long away = hasNoMembers(p.group) ? PROBE_AGAIN : p.kind.aim() * 2;
             long after = Math.min(settings.limits().maxRetryAfter(), jitter(away));
-            act.refuse(p.request.id(), settings.limits().retryAfter() ? after : 0);
+            actions.refuse(p.request.id(), settings.limits().retryAfter() ? after : 0);
         } else {
-            act.fail(p.request.id());
+            actions.fail(p.request.id());
         }
         close(p);
     }
@@ -714,8 +704,8 @@
             return;
         }
         p.closed = true;
-        p.group.scout = p.group.scout == p ? null : p.group.scout;
-        if (p.at == null) {
+        p.group.primarySeeker = p.group.primarySeeker == p ? null : p.group.primarySeeker;
+        if (p.server == null) {
             open.remove(p.request.id());
         }
     }
@@ -724,74 +714,79 @@
      * Evidence is fetched when something waits and nobody who could serve it was heard lately: one replica at
      * a time, or all who may be the primary. Probes are priced, so they are earned by requests.
      */
-    private void ask(Group g) {
+    private void probeForEvidence(Group g) {
         if (!settings.limits().probes()) {
             return;
         }
         for (ArrayDeque<Pending> queue : g.waiting) {
             for (Pending p : queue) {
                 if (needsPrimary(p)) {
-                    askPrimary(g);
+                    probePrimary(g);
                     break;
                 }
-                askReplica(p);
+                probeReplica(p);
             }
         }
     }
 
-    private void askPrimary(Group g) {
-        boolean doubted = !sound(g.primary) || silent(g.primary, ASK_WAIT);
+    private void probePrimary(Group g) {
+        boolean doubted = !isHealthy(g.primary) || isSilent(g.primary, PROBE_WAIT);
         for (Server s : g.members) {
-            if ((doubted || s == g.primary && !evident(s)) && askable(s)) {
+            if ((doubted || s == g.primary && !isRecentlyHeard(s)) && mayProbe(s)) {
                 probe(s);
             }
         }
     }
 
-    private void askReplica(Pending p) {
+    private void probeReplica(Pending p) {
         Server primary = p.group.primary;
         for (Server s : p.group.members) {
-            boolean serves = sound(s) && evident(s) && freshEnough(s, p) && inTime(s, p);
-            if (s != primary && listed(s) && (serves || s.probeOut && !silent(s, ASK_WAIT))) {
+            boolean serves = isHealthy(s) && isRecentlyHeard(s) && isFreshEnough(s, p) && isInTime(s, p);
+            if (s != primary && isListed(s) && (serves || s.probeOut && !isSilent(s, PROBE_WAIT))) {
                 return;
             }
         }
-        Server pick = draw(
-                p,
-                s -> askable(s)
-                        && (reportsLoad || !evident(s) || !freshEnough(s, p))
-                        && (now - s.probedAt > ASK_FAR * dear
-                                || !silent(s, ASK_WAIT)
-                                        && (freshEnough(s, p)
-                                                || owed(p) - s.position < ASK_REACH + now - s.positionAt)));
+        Server pick = draw(p, s -> mayProbe(s) && isWorthProbing(s, p));
+        boolean primaryIsUnknown = primary != null && now - primary.reportAt > FRESH;
         if (pick != null) {
             probe(pick);
-        } else if (primary != null && now - primary.reportAt > FRESH && askable(primary) && full(p)) {
+        } else if (primaryIsUnknown && mayProbe(primary) && replicasFull(p)) {
             probe(primary);
         }
     }
 
-    private boolean askable(Server s) {
-        return listed(s) && !s.probeOut && now - s.probedAt >= ASK_AGAIN * dear && probeCredit >= 1;
+    /** Its answer may let the read go, and it is not silent or far behind, unless last probed long ago. */
+    private boolean isWorthProbing(Server s, Pending p) {
+        boolean mayTell = reportsLoad || !isRecentlyHeard(s) || !isFreshEnough(s, p);
+        if (!mayTell || now - s.probedAt > PROBE_FAR * probePriceFactor) {
+            return mayTell;
+        }
+        long reach = PROBE_REACH + now - s.positionAt;
+        return !isSilent(s, PROBE_WAIT) && (isFreshEnough(s, p) || requiredPosition(p) - s.position < reach);
+    }
+
+    private boolean mayProbe(Server s) {
+        boolean rested = now - s.probedAt >= PROBE_AGAIN * probePriceFactor;
+        return isListed(s) && !s.probeOut && rested && probeBudget >= 1;
     }
 
     private void probe(Server s) {
-        probeCredit--;
+        probeBudget--;
         s.probeOut = true;
         s.probedAt = now;
         s.silentSince = s.silentSince == NONE ? now : s.silentSince;
-        act.probe(s.id);
+        actions.probe(s.id);
     }
 
     /** Arms for the next moment at which something is due, unless an earlier look is armed already. */
     private void schedule(Group g) {
-        long due = g.waiting.stream().allMatch(ArrayDeque::isEmpty) ? Long.MAX_VALUE : now + ASK_WAIT;
-        for (Pending p : g.out.values()) {
+        long due = g.waiting.stream().allMatch(ArrayDeque::isEmpty) ? Long.MAX_VALUE : now + PROBE_WAIT;
+        for (Pending p : g.outstanding.values()) {
             due = Math.min(due, p.checkAt);
         }
-        if (due < g.dueAt) {
-            g.dueAt = Math.max(due, now + MS);
-            act.arm(g.dueAt - now, g.id + 1);
+        if (due < g.nextLookAt) {
+            g.nextLookAt = Math.max(due, now + MS);
+            actions.arm(g.nextLookAt - now, g.id + 1);
         }
     }
 
@@ -807,15 +802,15 @@
     private Server primaryTarget(Pending p) {
         Group g = p.group;
         if (g.primary != null) {
-            return usable(g.primary, p) ? g.primary : null;
+            return isUsable(g.primary, p) ? g.primary : null;
         }
-        if (g.scout != null && g.scout != p || p.kind.need() != Need.WRITE) {
+        if (g.primarySeeker != null && g.primarySeeker != p || p.kind.need() != Need.WRITE) {
             return null;
         }
         for (Server s : g.members) {
             boolean open = s.role == Role.UNKNOWN || now - s.roleAsOf > ROLE_MEMORY;
-            if (open && usable(s, p) && !p.tried.contains(s)) {
-                g.scout = p;
+            if (open && isUsable(s, p) && !p.tried.contains(s)) {
+                g.primarySeeker = p;
                 return s;
             }
         }
@@ -824,48 +819,48 @@
 
     private void send(Pending p, Server s) {
         p.attempts++;
-        p.at = s;
+        p.server = s;
         p.sentAt = now;
         p.checkAt = p.kind.repeat() == Repeat.SAFE && settings.limits().probes()
-                ? now + (long) (doubt * usual(p) * expected(s))
+                ? now + (long) (longRunningFactor * typical(p) * expected(s))
                 : Long.MAX_VALUE;
-        p.group.out.put(p.request.id(), p);
+        p.group.outstanding.put(p.request.id(), p);
         s.inFlight++;
         s.sentAt = now;
         s.coldCredit--;
         sends.add(now);
-        if (s.outUntil != NONE) {
-            leaveOut(s);
+        if (s.ejectedUntil != NONE) {
+            eject(s);
         }
-        act.send(p.request.id(), s.id, NONE);
+        actions.send(p.request.id(), s.id, NONE);
     }
 
     private boolean mayRefuse(Pending p) {
         return p.kind.repeat() == Repeat.SAFE
-                || p.ranAt == null
+                || p.mayHaveRunAt == null
                 || p.kind.repeat() == Repeat.KEYED && p.kind.scope() == Scope.ALL;
     }
 
     private boolean repeatAllowedAt(Pending p, Server s) {
-        return p.ranAt == null
+        return p.mayHaveRunAt == null
                 || p.kind.repeat() == Repeat.SAFE
                 || p.kind.repeat() == Repeat.KEYED
-                        && now - p.ranSince < p.kind.keyTtl()
-                        && (p.kind.scope() != Scope.ZONE || s.zone == p.ranAt.zone);
+                        && now - p.mayHaveRunSince < p.kind.keyTtl()
+                        && (p.kind.scope() != Scope.ZONE || s.zone == p.mayHaveRunAt.zone);
     }
 
     private boolean mayResend(Pending p) {
         return p.attempts < settings.limits().maxAttempts()
                 && now < p.request.expires() - GIVE_UP_MARGIN
-                && repeatAllowedAt(p, p.ranAt);
+                && repeatAllowedAt(p, p.mayHaveRunAt);
     }
 
     private void retry(Pending p, Server s, Result result) {
         p.tried.add(s);
-        p.group.scout = p.group.scout == p ? null : p.group.scout;
+        p.group.primarySeeker = p.group.primarySeeker == p ? null : p.group.primarySeeker;
         int price = result == Result.MISS || result == Result.STALE ? 0 : 1;
-        if (mayResend(p) && resends >= price) {
-            resends -= price;
+        if (mayResend(p) && retryBudget >= price) {
+            retryBudget -= price;
             p.group.waiting.get(p.request.cls()).addFirst(p);
         } else {
             giveUp(p);
@@ -873,45 +868,45 @@
     }
 
     /** Long work makes its member be asked; if that is silent, or free, safe work is withdrawn. */
-    private void checkWork(Group g) {
-        for (Pending p : g.out.values()) {
+    private void checkAttempts(Group g) {
+        for (Pending p : g.outstanding.values()) {
             if (p.checkAt > now || p.closed) {
                 continue;
             }
-            p.checkAt = now + ASK_WAIT;
-            if (!silent(p.at, SILENCE) && !lost(p)) {
-                if (now - p.at.heardAt > SILENCE && askable(p.at)) {
-                    probe(p.at);
+            p.checkAt = now + PROBE_WAIT;
+            if (!isSilent(p.server, SILENCE) && !looksLost(p)) {
+                if (now - p.server.lastHeardAt > SILENCE && mayProbe(p.server)) {
+                    probe(p.server);
                 }
-            } else if (settings.limits().cancels() && mayResend(p) && resends >= 1) {
+            } else if (settings.limits().cancels() && mayResend(p) && retryBudget >= 1) {
                 p.checkAt = Long.MAX_VALUE;
-                act.cancel(p.request.id(), p.attempts - 1);
+                actions.cancel(p.request.id(), p.attempts - 1);
             }
         }
     }
 
     /** Much longer out than is expected at a member that answers and shows no load: likely lost. */
-    private boolean lost(Pending p) {
-        double expected = Math.max(expected(p.at), roleLatency(p.at.role));
-        boolean overdue = now - p.sentAt > OVERDUE * usual(p) * expected;
-        return overdue && now + calm(p) < useful(p) && showsFree(p.at, FULL_USE);
+    private boolean looksLost(Pending p) {
+        double expected = Math.max(expected(p.server), roleLatency(p.server.role));
+        boolean overdue = now - p.sentAt > OVERDUE * typical(p) * expected;
+        return overdue && now + calmDuration(p) < lastUsefulAt(p) && reportsIdle(p.server, FULL_USE);
     }
 
-    private boolean showsFree(Server s, double use) {
-        return now - s.reportAt <= FRESH && s.queue == 0 && s.use < use;
+    private boolean reportsIdle(Server s, double use) {
+        return now - s.reportAt <= FRESH && s.queued == 0 && s.utilization < use;
     }
 
-    private boolean listed(Server s) {
+    private boolean isListed(Server s) {
         return !s.draining && (s.listed || settings.rules().onlyDrainingBinds());
     }
 
     /** Asked for so long and not heard since, whatever the cause: a stall, a hang, a cut, a dead process. */
-    private boolean silent(Server s, long span) {
+    private boolean isSilent(Server s, long span) {
         return settings.limits().probes() && s.silentSince != NONE && now - s.silentSince > span;
     }
 
-    private boolean sound(Server s) {
-        return s != null && listed(s) && s.outUntil == NONE && !silent(s, SILENCE);
+    private boolean isHealthy(Server s) {
+        return s != null && isListed(s) && s.ejectedUntil == NONE && !isSilent(s, SILENCE);
     }
 
     /**
@@ -919,9 +914,9 @@
      * suits few makes many ask before nearly every read. It ends where the sends are no longer counted. Not
      * for primaries: what is written to one that has stopped can't be withdrawn, and waits for its successor.
      */
-    private long belief() {
+    private long beliefSpan() {
         return Math.max(FRESH, (long)
-                Math.min(RATE_SPAN, BELIEF_GAPS * servers.size() * RATE_SPAN / Math.max(1, recentSends())));
+                Math.min(RATE_SPAN, BELIEF_GAPS * servers.size() * RATE_SPAN / Math.max(1, sends.at(now))));
     }
 
     /**
@@ -929,21 +924,20 @@
      * against all silences since; it costs a probe and a round trip where little is heard. With no probe
      * earned nobody can be asked, and work that waits for news of members is lost for certain.
      */
-    private boolean evident(Server s) {
-        long span = s == s.group.primary ? (long) Math.min(RATE_SPAN, FRESH * dear) : belief;
-        return !settings.limits().probes()
-                || !silent(s, ASK_WAIT)
-                        && (now - s.heardAt <= span || s.heardAt == RouterState.NEVER || probeCredit < 1);
-    }
-
-    private boolean usable(Server s, Pending p) {
-        boolean trial = s.outUntil <= now && s.inFlight == 0;
-        return listed(s)
-                && (s.outUntil == NONE || trial)
-                && evident(s)
+    private boolean isRecentlyHeard(Server s) {
+        long span = s == s.group.primary ? (long) Math.min(RATE_SPAN, FRESH * probePriceFactor) : beliefSpan;
+        boolean believed = now - s.lastHeardAt <= span || s.lastHeardAt == RouterState.NEVER;
+        return !settings.limits().probes() || !isSilent(s, PROBE_WAIT) && (believed || probeBudget < 1);
+    }
+
+    private boolean isUsable(Server s, Pending p) {
+        boolean trial = s.ejectedUntil <= now && s.inFlight == 0;
+        return isListed(s)
+                && (s.ejectedUntil == NONE || trial)
+                && isRecentlyHeard(s)
                 && repeatAllowedAt(p, s)
                 && hasRoom(s, p)
-                && inTime(s, p);
+                && isInTime(s, p);
     }
 
     /**
@@ -954,16 +948,16 @@
         double warmth = warmth(s);
         return s.inFlight < Math.max(1, s.limit * warmth * warmth)
                 && (warmth >= 1 || coldBudgetLeft(s))
-                && (s.limit >= 1 || now - s.sentAt >= usual(p) * latency(s) / s.limit);
+                && (s.limit >= 1 || now - s.sentAt >= typical(p) * latency(s) / s.limit);
     }
 
-    private void unreachable(Server s, long duration) {
+    private void recordUnreachable(Server s, long duration) {
         // Refused at once: the process is down. Not connected in time: cut off or at its limit.
         s.down |= duration < settings.limits().connectTimeout() * 0.8;
         s.silentSince = Math.min(s.silentSince == NONE ? now : s.silentSince, now - LOST_AFTER - 1);
         if (!settings.limits().probes()) {
             s.failures = 1;
-            failed(s);
+            recordFailure(s);
         }
     }
 
@@ -971,41 +965,33 @@
      * Outlier ejection: a member that fails its work is left out until a trial after a backoff succeeds. It
      * may hurt when all members fail for one outside cause: each then gets only trials.
      */
-    private void failed(Server s) {
+    private void recordFailure(Server s) {
         s.failures += FAILURE_GAIN * (1 - s.failures);
-        if (s.failures > EJECT_FAILURES && s.outUntil <= now) {
-            if (s.outUntil == NONE) {
-                act.log(s.id + " ejected: fails");
-                s.outSince = now;
+        if (s.failures > EJECT_FAILURES && s.ejectedUntil <= now) {
+            if (s.ejectedUntil == NONE) {
+                actions.log(s.id + " ejected: fails");
+                s.ejectedSince = now;
             }
-            leaveOut(s);
+            eject(s);
         }
     }
 
-    private void leaveOut(Server s) {
-        strike(s);
-        s.outUntil = now + jitter((long) Math.min(EJECT_MAX, EJECT_FIRST * Math.pow(2, strikes(s) - 1)));
+    private void eject(Server s) {
+        s.recentFaults.add(now);
+        double span = EJECT_FIRST * Math.pow(2, s.recentFaults.at(now) - 1);
+        s.ejectedUntil = now + jitter((long) Math.min(EJECT_MAX, span));
     }
 
     /** What was sent before a failing member's ejection proves nothing: only a trial readmits it. */
     private void readmit(Server s, Pending p) {
         s.failures *= 1 - FAILURE_GAIN;
-        if (s.outUntil != NONE && (p.sentAt > s.outSince || s.failures < EJECT_FAILURES / 2)) {
-            act.log(s.id + " readmitted");
-            s.outUntil = NONE;
+        if (s.ejectedUntil != NONE && (p.sentAt > s.ejectedSince || s.failures < EJECT_FAILURES / 2)) {
+            actions.log(s.id + " readmitted");
+            s.ejectedUntil = NONE;
             s.failures = Math.min(s.failures, EJECT_FAILURES / 2);
         }
     }
 
-    /** What has failed or been silent again and again is drawn less and left out longer than once. */
-    private void strike(Server s) {
-        s.strikes.add(now);
-    }
-
-    private double strikes(Server s) {
-        return s.strikes.at(now);
-    }
-
     /** The share of its capacity that a member has for certain, by the settings' worst case. */
     private double warmth(Server s) {
         long ramp = settings.rules().rampTime();
@@ -1017,15 +1003,15 @@
     }
 
     /** The start of a process; each gateway's budget begins at a random point: not all send at once. */
-    private void startedAnew(Server s, long at, String how) {
+    private void markRestarted(Server s, long at, String how) {
         if (now - at < settings.rules().rampTime()) {
-            act.log(s.id + how + ", taken as cold");
+            actions.log(s.id + how + ", taken as cold");
         }
         s.startedAt = at;
         s.latency = LATENCY_CALM;
         // What an earlier process failed at proves nothing of this one.
         s.failures = 0;
-        s.outUntil = NONE;
+        s.ejectedUntil = NONE;
         s.coldCredit = random.nextDouble();
         s.creditAt = now;
     }
@@ -1039,17 +1025,13 @@
         long warm = Math.max(
                 1,
                 servers.values().stream()
-                        .filter(m -> listed(m) && warmth(m) >= 1)
+                        .filter(m -> isListed(m) && warmth(m) >= 1)
                         .count());
-        double capacity = recentSends() * SECOND / RATE_SPAN / warm / Math.max(USE_LEAST, fleetUse);
+        double capacity = sends.at(now) * SECOND / RATE_SPAN / warm / Math.max(USE_LEAST, fleetUse);
         double allowed = COLD_SHARE * settings.rules().fallMultiple() * warmth(s) * capacity;
         double rate = Math.max(LIMIT_MIN / settings.instances(), allowed);
         s.coldCredit = Math.min(1.5, s.coldCredit + rate * (now - s.creditAt) / SECOND);
         s.creditAt = now;
         return s.coldCredit >= 1;
     }
-
-    private double recentSends() {
-        return sends.at(now);
-    }
 }
--- a/src/main/java/crankwick/RouterState.java
+++ b/src/main/java/crankwick/RouterState.java
@@ -34,11 +34,11 @@
         Role role = Role.UNKNOWN;
         long roleAsOf = Long.MIN_VALUE;
         /** The last report: requests waiting, share of busy cores. */
-        double queue;
+        double queued;
 
-        double use;
+        double utilization;
         long reportAt = NEVER;
-        /** In usual durations of a class. */
+        /** In typical durations of a class. */
         double latency;
 
         long latencyAt = NEVER;
@@ -46,26 +46,40 @@
         int inFlight;
         long sentAt = NEVER;
         long missedAt = NEVER;
-        long heardAt = NEVER;
+        long lastHeardAt = NEVER;
         long probedAt = NEVER;
         boolean probeOut;
         /** The first probe since it was last heard, or NONE. */
         long silentSince = RouterApi.NONE;
         /** It refused to connect, and was not heard since. */
         boolean down;
-        /** Smoothed share of attempts that fail; left out from and until; strikes that fade. */
+        /** Smoothed share of attempts that fail; when it was ejected and until when; faults that fade. */
         double failures;
 
-        long outSince;
-        long outUntil = RouterApi.NONE;
-        final DecayingCount strikes;
+        long ejectedSince;
+        long ejectedUntil = RouterApi.NONE;
+        final DecayingCount recentFaults;
 
-        Server(Member m, Group group, DecayingCount strikes) {
-            this.strikes = strikes;
+        Server(Member m, Group group, DecayingCount recentFaults) {
+            this.recentFaults = recentFaults;
             id = m.server();
             zone = m.zone();
             this.group = group;
         }
+
+        /** Listed, or not any more from now on. */
+        void setListed(boolean isListed, long now) {
+            unlistedAt = listed && !isListed ? now : unlistedAt;
+            listed = isListed;
+        }
+
+        /** Takes all evidence of a position: it never falls. */
+        void learnPosition(long told, long now) {
+            if (told > position) {
+                position = told;
+                positionAt = now;
+            }
+        }
     }
 
     /** A request that is owed its final answer, or whose attempt is still out. */
@@ -79,14 +93,14 @@
 
         final List<Server> tried = new ArrayList<>(2);
         int attempts;
-        Server at;
+        Server server;
         long sentAt;
         long checkAt;
         boolean closed;
         /** Where an attempt may have run, and when that was sent. */
-        Server ranAt;
+        Server mayHaveRunAt;
 
-        long ranSince;
+        long mayHaveRunSince;
 
         Pending(Request request, RequestClass kind, Group group, long token, long askedAt) {
             this.request = request;
@@ -106,13 +120,13 @@
         /** Last commits by session. */
         final SessionPositions tokens = new SessionPositions();
 
-        final LinkedHashMap<Long, Pending> out = new LinkedHashMap<>();
+        final LinkedHashMap<Long, Pending> outstanding = new LinkedHashMap<>();
         /** The earliest look that is armed. */
-        long dueAt = Long.MAX_VALUE;
+        long nextLookAt = Long.MAX_VALUE;
 
         Server primary;
         /** The write that seeks the primary. */
-        Pending scout;
+        Pending primarySeeker;
 
         Group(long id, int classes) {
             this.id = id;
