Rows are encoded in one place a wire; the tests' servers and settings stand once

PgWriter.row and TdsWriter.row serve both the fronts' and the emulated databases' codecs (the latter wrote an empty value's end twice on TDS). LoopbackServer is the accept loop of ScriptedDiscovery and StandIn; TestSettings the one class that three tests of the broker shared line by line.

--- a/src/main/java/crankwick/pg/PgFrontCodec.java
+++ b/src/main/java/crankwick/pg/PgFrontCodec.java
@@ -15,7 +15,6 @@
     private static final int CANCEL_REQUEST = 80877102;
     private static final int MAX_STARTUP = 10_000;
     private static final int MAX_MESSAGE = 192 * 1024;
-    private static final int BYTEA = 17;
 
     @Override
     protected Decoder newDecoder() {
@@ -124,22 +123,7 @@
 
     private static void answer(PgWriter out, Reply reply) {
         if (reply instanceof Reply.Served served) {
-            out.int16(1)
-                    .text("val")
-                    .int32(0)
-                    .int16(0)
-                    .int32(BYTEA)
-                    .int16(-1)
-                    .int32(-1)
-                    .int16(1)
-                    .end('T');
-            out.int16(1);
-            if (served.value() == null) {
-                out.int32(-1);
-            } else {
-                out.int32(served.value().length).bytes(served.value());
-            }
-            out.end('D');
+            out.row(served.value());
             out.text(served.write() ? "INSERT 0 1" : "SELECT 1").end('C');
         } else if (reply instanceof Reply.Refused refused) {
             long millis = (refused.retryAfter() + 999) / 1_000;
--- a/src/main/java/crankwick/pg/PgMemberCodec.java
+++ b/src/main/java/crankwick/pg/PgMemberCodec.java
@@ -8,8 +8,6 @@
 
 /** A database's side of PostgreSQL's protocol, for emulated ones: reads as the front does. */
 public final class PgMemberCodec extends CodecFilter {
-    private static final int BYTEA = 17;
-
     private final PgFrontCodec front = new PgFrontCodec();
 
     @Override
@@ -30,16 +28,7 @@
         if (reply.result() == Result.OK) {
             String text = reply.probe() ? reply.stats() : reply.value();
             byte[] row = text.getBytes(StandardCharsets.ISO_8859_1);
-            out.int16(1)
-                    .text("val")
-                    .int32(0)
-                    .int16(0)
-                    .int32(BYTEA)
-                    .int16(-1)
-                    .int32(-1)
-                    .int16(1)
-                    .end('T');
-            out.int16(1).int32(row.length).bytes(row).end('D');
+            out.row(row);
             out.text("SELECT 1").end('C');
         } else {
             String code =
--- a/src/main/java/crankwick/pg/PgWriter.java
+++ b/src/main/java/crankwick/pg/PgWriter.java
@@ -6,6 +6,7 @@
 
 /** Builds messages of version 3: a type, a length, the fields. */
 final class PgWriter {
+    private static final int BYTEA = 17;
     /** Each byte a character: statements and values pass through unchanged, whatever their encoding. */
     static final Charset CHARSET = StandardCharsets.ISO_8859_1;
 
@@ -36,6 +37,19 @@
         return bytes(value.getBytes(CHARSET)).int8(0);
     }
 
+    /** A row of one binary column, described and given; null is SQL's NULL. */
+    PgWriter row(byte[] value) {
+        int16(1).text("val").int32(0).int16(0).int32(BYTEA).int16(-1).int32(-1).int16(1);
+        end('T');
+        int16(1);
+        if (value == null) {
+            int32(-1);
+        } else {
+            int32(value.length).bytes(value);
+        }
+        return end('D');
+    }
+
     /** Ends a message that has a type. */
     PgWriter end(char type) {
         out.write(type);
--- a/src/main/java/crankwick/tds/TdsFrontCodec.java
+++ b/src/main/java/crankwick/tds/TdsFrontCodec.java
@@ -13,7 +13,6 @@
     private static final int LOGIN_USER = 40;
     private static final int ERROR_SEVERITY = 16;
     private static final int FATAL_SEVERITY = 20;
-    private static final int CHUNKS_END = 0;
 
     @Override
     protected Decoder newDecoder() {
@@ -90,15 +89,7 @@
                 long millis = Math.floorDiv(served.position() + 999, 1_000L);
                 out.message(Tds.INFO, Tds.FACT, 0, "wal_time=" + millis);
             }
-            out.int8(Tds.COLMETADATA)
-                    .int16(1)
-                    .int32(0)
-                    .int16(1)
-                    .int8(Tds.VARBINARY)
-                    .int16(Tds.MAX)
-                    .shortText("val");
-            out.int8(Tds.ROW);
-            value(out, served.value());
+            out.row(served.value());
             out.done(Tds.DONE_COUNT, 1);
         } else if (reply instanceof Reply.Refused refused) {
             if (refused.retryAfter() > 0) {
@@ -128,17 +119,6 @@
         }
     }
 
-    /** A value in chunks: its length (-1 for NULL), at most one chunk, the end. */
-    private static void value(TdsWriter out, byte[] value) {
-        out.int64(value == null ? -1 : value.length);
-        if (value != null) {
-            if (value.length > 0) {
-                out.int32(value.length).bytes(value);
-            }
-            out.int32(CHUNKS_END);
-        }
-    }
-
     private static void error(TdsWriter out, int number, String text) {
         out.message(Tds.ERROR, number, ERROR_SEVERITY, text).done(Tds.DONE_ERROR, 0);
     }
--- a/src/main/java/crankwick/tds/TdsMemberCodec.java
+++ b/src/main/java/crankwick/tds/TdsMemberCodec.java
@@ -30,14 +30,7 @@
         out.message(Tds.INFO, Tds.FACT, 0, "stats=" + reply.stats());
         if (reply.result() == Result.OK && !reply.probe()) {
             byte[] row = reply.value().getBytes(StandardCharsets.ISO_8859_1);
-            out.int8(Tds.COLMETADATA)
-                    .int16(1)
-                    .int32(0)
-                    .int16(1)
-                    .int8(Tds.VARBINARY)
-                    .int16(Tds.MAX)
-                    .shortText("val");
-            out.int8(Tds.ROW).int64(row.length).int32(row.length).bytes(row).int32(0);
+            out.row(row);
             out.done(Tds.DONE_COUNT, 1);
         } else if (reply.result() == Result.OK) {
             out.done(0, 0);
--- a/src/main/java/crankwick/tds/TdsWriter.java
+++ b/src/main/java/crankwick/tds/TdsWriter.java
@@ -5,6 +5,7 @@
 
 /** Builds a TDS message: little-endian fields and tokens, then packets with their headers. */
 final class TdsWriter {
+    private static final int CHUNKS_END = 0;
     private final ByteArrayOutputStream out = new ByteArrayOutputStream(256);
 
     TdsWriter int8(int value) {
@@ -60,6 +61,19 @@
                         .int32(1));
     }
 
+    /** COLMETADATA and ROW of one varbinary(max): its length (-1 for NULL), at most one chunk, the end. */
+    TdsWriter row(byte[] value) {
+        int8(Tds.COLMETADATA).int16(1).int32(0).int16(1).int8(Tds.VARBINARY).int16(Tds.MAX);
+        shortText("val").int8(Tds.ROW).int64(value == null ? -1 : value.length);
+        if (value == null) {
+            return this;
+        }
+        if (value.length > 0) {
+            int32(value.length).bytes(value);
+        }
+        return int32(CHUNKS_END);
+    }
+
     /** DONE. */
     TdsWriter done(int status, long rows) {
         return int8(Tds.DONE).int16(status).int16(0).int64(rows);
--- a/src/test/java/crankwick/app/HeldFront.java
+++ b/src/test/java/crankwick/app/HeldFront.java
@@ -1,19 +1,11 @@
 package crankwick.app;
 
-import crankwick.RouterApi.Limits;
 import crankwick.RouterApi.ListKind;
-import crankwick.RouterApi.ListRole;
 import crankwick.RouterApi.Member;
-import crankwick.RouterApi.Need;
-import crankwick.RouterApi.Prices;
-import crankwick.RouterApi.Repeat;
-import crankwick.RouterApi.RequestClass;
 import crankwick.RouterApi.Role;
-import crankwick.RouterApi.Rules;
-import crankwick.RouterApi.Scope;
 import crankwick.RouterApi.Settings;
 import crankwick.RouterApi.Standing;
-import crankwick.RouterApi.WhenBehind;
+import crankwick.TestSettings;
 import crankwick.broker.Broker;
 import crankwick.broker.Contract;
 import crankwick.discovery.Discovery;
@@ -58,19 +50,7 @@
     private final List<Hold> holds = new ArrayList<>();
 
     HeldFront(int maxSessions) throws Exception {
-        Settings settings = new Settings(
-                1,
-                0,
-                false,
-                true,
-                true,
-                WhenBehind.WAIT,
-                ListRole.LATE,
-                new Rules(20 * MS, 2_000 * MS, false, 0.18, 16_000 * MS, 2.5, 2_000 * MS),
-                new Limits(true, true, true, 2_000 * MS, 8, CONNECT_TIMEOUT),
-                new Prices(0.01, 0.02, 0.05),
-                List.of(new RequestClass(
-                        Need.WRITE, 0, Repeat.KEYED, Scope.GROUP, KEY_TTL, 2_000 * MS, 6_000 * MS, 6, 0.5)));
+        Settings settings = TestSettings.keyedWrite(KEY_TTL, 6_000 * MS, CONNECT_TIMEOUT, true);
         broker = new Broker(settings, 1, Map.of("", Contract.UNLIMITED), null);
         EffectRunner runner = new EffectRunner(broker, loop, clock);
         front = new ClientFront(runner, settings.classes(), List.of("write"), ""::equals, maxSessions);
--- a/src/test/java/crankwick/app/ScriptedDiscovery.java
+++ b/src/test/java/crankwick/app/ScriptedDiscovery.java
@@ -4,16 +4,12 @@
 import java.io.IOException;
 import java.io.InputStreamReader;
 import java.io.OutputStream;
-import java.net.InetAddress;
-import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.Arrays;
-import java.util.Set;
-import java.util.concurrent.ConcurrentHashMap;
 
 /** Discovery on a port of its own, whose answers take the form that a test wants. */
-final class ScriptedDiscovery implements AutoCloseable {
+final class ScriptedDiscovery extends LoopbackServer {
     /** How answers are written: some are whole, of the others no list can be read. */
     enum Form {
         WITH_LENGTH,
@@ -43,58 +39,29 @@
     /** Halves of answers wait for so long between them. */
     volatile int pauseMs;
 
-    private final ServerSocket listener = new ServerSocket(0, 100, InetAddress.getByName("127.0.0.1"));
     private final Lists lists;
-    private final Set<Socket> sockets = ConcurrentHashMap.newKeySet();
 
     ScriptedDiscovery(Lists lists) throws IOException {
         this.lists = lists;
-        daemon(() -> {
-            while (true) {
-                Socket socket = listener.accept();
-                sockets.add(socket);
-                daemon(() -> serve(socket));
-            }
-        });
-    }
-
-    private interface Task {
-        void run() throws IOException, InterruptedException;
-    }
-
-    private static void daemon(Task task) {
-        Thread thread = new Thread(() -> {
-            try {
-                task.run();
-            } catch (IOException | InterruptedException e) {
-                // The caller has gone, or the test is over.
-                Thread.currentThread().interrupt();
-            }
-        });
-        thread.setDaemon(true);
-        thread.start();
+        start();
     }
 
     int port() {
         return listener.getLocalPort();
     }
 
-    private void serve(Socket socket) throws IOException, InterruptedException {
-        try (socket) {
-            socket.setTcpNoDelay(true);
-            BufferedReader in =
-                    new BufferedReader(new InputStreamReader(socket.getInputStream(), StandardCharsets.US_ASCII));
-            String target = in.readLine().split(" ")[1];
-            while (!in.readLine().isEmpty()) {
-                continue;
-            }
-            int query = target.indexOf('?');
-            String list = lists.answer(query < 0 ? null : target.substring(query + 1));
-            byte[] body = list.getBytes(StandardCharsets.UTF_8);
-            write(socket.getOutputStream(), body, form);
-        } finally {
-            sockets.remove(socket);
+    @Override
+    void serve(Socket socket) throws IOException, InterruptedException {
+        BufferedReader in =
+                new BufferedReader(new InputStreamReader(socket.getInputStream(), StandardCharsets.US_ASCII));
+        String target = in.readLine().split(" ")[1];
+        while (!in.readLine().isEmpty()) {
+            continue;
         }
+        int query = target.indexOf('?');
+        String list = lists.answer(query < 0 ? null : target.substring(query + 1));
+        byte[] body = list.getBytes(StandardCharsets.UTF_8);
+        write(socket.getOutputStream(), body, form);
     }
 
     private void write(OutputStream out, byte[] body, Form as) throws IOException, InterruptedException {
@@ -142,12 +109,4 @@
             }
         }
     }
-
-    @Override
-    public void close() throws IOException {
-        listener.close();
-        for (Socket socket : sockets) {
-            socket.close();
-        }
-    }
 }
--- a/src/test/java/crankwick/app/StandIn.java
+++ b/src/test/java/crankwick/app/StandIn.java
@@ -2,8 +2,6 @@
 
 import java.io.DataInputStream;
 import java.io.IOException;
-import java.net.InetAddress;
-import java.net.ServerSocket;
 import java.net.Socket;
 import java.net.SocketTimeoutException;
 import java.util.Arrays;
@@ -16,7 +14,7 @@
 import java.util.concurrent.atomic.AtomicInteger;
 
 /** A small database: answers as it is told to, and notes what it was sent and when. */
-final class StandIn implements AutoCloseable {
+final class StandIn extends LoopbackServer {
     /** What a database was sent: the request's id and when its last byte had come. */
     record Seen(String server, String id, String statement, long at) {}
 
@@ -42,7 +40,6 @@
     private static final long COPY_BY = TimeUnit.MILLISECONDS.toNanos(8);
 
     final String name;
-    final ServerSocket listener;
     volatile String mode;
     /**
      * VALUE, MISS, FULL, ERROR, SILENT (no answer at all), BREAK (the connection ends instead), SPOILT (every
@@ -70,67 +67,40 @@
 
     private final Wire wire;
     private final Ledger ledger;
-    private final Set<Socket> sockets = ConcurrentHashMap.newKeySet();
 
     StandIn(String name, String mode, Wire wire, Ledger ledger) throws IOException {
         this.name = name;
         this.mode = mode;
         this.wire = wire;
         this.ledger = ledger;
-        listener = new ServerSocket(0, 100, InetAddress.getByName("127.0.0.1"));
-        daemon(() -> {
-            while (true) {
-                Socket socket = listener.accept();
-                sockets.add(socket);
-                daemon(() -> serve(socket));
-            }
-        });
-    }
-
-    private interface Task {
-        void run() throws IOException, InterruptedException;
+        start();
     }
 
-    private static void daemon(Task task) {
-        Thread thread = new Thread(() -> {
-            try {
-                task.run();
-            } catch (IOException | InterruptedException e) {
-                // The peer has gone or the test is over; what matters is in the ledger.
-                Thread.currentThread().interrupt();
+    @Override
+    void serve(Socket socket) throws IOException, InterruptedException {
+        DataInputStream in = new DataInputStream(socket.getInputStream());
+        if (resets && accepted++ % 5 == 4) {
+            socket.setSoLinger(true, 0);
+            return;
+        }
+        opened.incrementAndGet();
+        Thread.sleep(greetMs);
+        greeting.await();
+        wire.greet(socket, in);
+        greeted.incrementAndGet();
+        for (int asked = 0; ; asked++) {
+            socket.setSoTimeout(idleMs);
+            String statement = wire.statement(in);
+            if (statement == null) {
+                return;
             }
-        });
-        thread.setDaemon(true);
-        thread.start();
-    }
-
-    private void serve(Socket socket) throws IOException, InterruptedException {
-        try (socket) {
-            socket.setTcpNoDelay(true);
-            DataInputStream in = new DataInputStream(socket.getInputStream());
-            if (resets && accepted++ % 5 == 4) {
+            if (resets && asked > 0) {
                 socket.setSoLinger(true, 0);
                 return;
             }
-            opened.incrementAndGet();
-            Thread.sleep(greetMs);
-            greeting.await();
-            wire.greet(socket, in);
-            greeted.incrementAndGet();
-            for (int asked = 0; ; asked++) {
-                socket.setSoTimeout(idleMs);
-                String statement = wire.statement(in);
-                if (statement == null) {
-                    return;
-                }
-                if (resets && asked > 0) {
-                    socket.setSoLinger(true, 0);
-                    return;
-                }
-                boolean probe = wire.isProbe(statement);
-                if (probe ? !answerProbe(socket) : !answer(socket, in, statement)) {
-                    return;
-                }
+            boolean probe = wire.isProbe(statement);
+            if (probe ? !answerProbe(socket) : !answer(socket, in, statement)) {
+                return;
             }
         }
     }
@@ -205,17 +175,4 @@
             return true;
         }
     }
-
-    int connections() {
-        sockets.removeIf(Socket::isClosed);
-        return sockets.size();
-    }
-
-    @Override
-    public void close() throws IOException {
-        listener.close();
-        for (Socket socket : sockets) {
-            socket.close();
-        }
-    }
 }
--- a/src/test/java/crankwick/broker/BrokerChangesTest.java
+++ b/src/test/java/crankwick/broker/BrokerChangesTest.java
@@ -5,22 +5,14 @@
 import static org.testng.Assert.assertTrue;
 
 import crankwick.RouterApi;
-import crankwick.RouterApi.Limits;
 import crankwick.RouterApi.ListKind;
-import crankwick.RouterApi.ListRole;
 import crankwick.RouterApi.Member;
-import crankwick.RouterApi.Need;
-import crankwick.RouterApi.Prices;
-import crankwick.RouterApi.Repeat;
 import crankwick.RouterApi.Report;
-import crankwick.RouterApi.RequestClass;
 import crankwick.RouterApi.Result;
 import crankwick.RouterApi.Role;
-import crankwick.RouterApi.Rules;
-import crankwick.RouterApi.Scope;
 import crankwick.RouterApi.Settings;
 import crankwick.RouterApi.Standing;
-import crankwick.RouterApi.WhenBehind;
+import crankwick.TestSettings;
 import crankwick.handover.HandoverSettings;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -55,19 +47,7 @@
         probed.clear();
         now = 1_000_000_000;
         refs = 0;
-        Settings settings = new Settings(
-                1,
-                0,
-                false,
-                true,
-                true,
-                WhenBehind.WAIT,
-                ListRole.LATE,
-                new Rules(20 * MS, 2_000 * MS, false, 0.18, 16_000 * MS, 2.5, 2_000 * MS),
-                new Limits(true, true, true, 2_000 * MS, 8, 250 * MS),
-                new Prices(0.01, 0.02, 0.05),
-                List.of(new RequestClass(
-                        Need.WRITE, 0, Repeat.KEYED, Scope.GROUP, KEY_TTL, 750 * MS, 3_000 * MS, 6, 0.5)));
+        Settings settings = TestSettings.keyedWrite(KEY_TTL, 3_000 * MS, 250 * MS, true);
         broker = new Broker(settings, 3, Map.of("", Contract.UNLIMITED), HandoverSettings.DEFAULT);
         tell(new BrokerEvent.Listed(
                 ListKind.FULL,
--- a/src/test/java/crankwick/broker/BrokerDeadlineTest.java
+++ b/src/test/java/crankwick/broker/BrokerDeadlineTest.java
@@ -4,21 +4,13 @@
 import static org.testng.Assert.assertTrue;
 
 import crankwick.RouterApi;
-import crankwick.RouterApi.Limits;
 import crankwick.RouterApi.ListKind;
-import crankwick.RouterApi.ListRole;
 import crankwick.RouterApi.Member;
-import crankwick.RouterApi.Need;
-import crankwick.RouterApi.Prices;
-import crankwick.RouterApi.Repeat;
-import crankwick.RouterApi.RequestClass;
 import crankwick.RouterApi.Result;
 import crankwick.RouterApi.Role;
-import crankwick.RouterApi.Rules;
-import crankwick.RouterApi.Scope;
 import crankwick.RouterApi.Settings;
 import crankwick.RouterApi.Standing;
-import crankwick.RouterApi.WhenBehind;
+import crankwick.TestSettings;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
@@ -39,19 +31,7 @@
     @BeforeMethod
     public void aWriteIsSent() {
         effects.clear();
-        Settings settings = new Settings(
-                1,
-                0,
-                false,
-                true,
-                true,
-                WhenBehind.WAIT,
-                ListRole.LATE,
-                new Rules(20 * MS, 2_000 * MS, false, 0.18, 16_000 * MS, 2.5, 2_000 * MS),
-                new Limits(false, true, true, 2_000 * MS, 8, 250 * MS),
-                new Prices(0.01, 0.02, 0.05),
-                List.of(new RequestClass(
-                        Need.WRITE, 0, Repeat.KEYED, Scope.GROUP, KEY_TTL, 750 * MS, 3_000 * MS, 6, 0.5)));
+        Settings settings = TestSettings.keyedWrite(KEY_TTL, 3_000 * MS, 250 * MS, false);
         broker = new Broker(settings, 1, Map.of("", Contract.UNLIMITED), null);
         tell(
                 START,
