HandoverLab is four classes: the run, the network, the troubles, a group as the list shows it

ModelNetwork owns attempts and probes on their way, TroubleSchedule what befalls members, LabGroup a group with what the list shows, LabRandom the draws.

--- /dev/null
+++ b/src/main/java/crankwick/lab/TroubleSchedule.java
@@ -0,0 +1,112 @@
+package crankwick.lab;
+
+import crankwick.model.ModelEvent;
+import crankwick.model.ModelEvent.Trouble.Kind;
+import java.util.function.BiConsumer;
+import java.util.function.BooleanSupplier;
+
+/** Deaths, hangs and drains of a group's members, drawn by seed, and their return. */
+final class TroubleSchedule {
+    private static final long MS = 1_000;
+    private static final long SECOND = 1_000 * MS;
+
+    private final Simulation time;
+    private final LabRandom random;
+    private final HandoverAudit audit;
+    private final ModelNetwork network;
+    private final int members;
+    /** Lists a member as it is shown by now. */
+    private final BiConsumer<LabGroup, Integer> lists;
+
+    private final BooleanSupplier ending;
+
+    TroubleSchedule(
+            Simulation time,
+            LabRandom random,
+            HandoverAudit audit,
+            ModelNetwork network,
+            int members,
+            BiConsumer<LabGroup, Integer> lists,
+            BooleanSupplier ending) {
+        this.time = time;
+        this.random = random;
+        this.audit = audit;
+        this.network = network;
+        this.members = members;
+        this.lists = lists;
+        this.ending = ending;
+    }
+
+    /** Draws the next trouble of a group, and so on until the run comes to its end. */
+    void next(LabGroup g) {
+        time.after(300 * MS + random.exponential(8.0 * SECOND), () -> {
+            if (!ending.getAsBoolean()) {
+                trouble(g);
+                next(g);
+            }
+        });
+    }
+
+    private void trouble(LabGroup g) {
+        int leader = g.model.leader();
+        int draw = random.percent();
+        if (leader < 0 || !othersAnswer(g, leader)) {
+            return;
+        }
+        if (draw < 30) {
+            befall(g, leader, Kind.DRAIN);
+            time.after(random.between(20 * MS, 300 * MS), () -> lists.accept(g, leader));
+            back(g, leader, random.between(1_500 * MS, 4 * SECOND));
+        } else if (draw < 90) {
+            befall(g, leader, draw < 65 ? Kind.DIE : Kind.HANG);
+            back(g, leader, random.between(600 * MS, 12 * SECOND));
+            if (random.percent() < 15) {
+                time.after(random.between(3 * SECOND, 5 * SECOND), () -> loseElected(g));
+            }
+        } else {
+            int replica = (leader + 1) % members;
+            befall(g, replica, Kind.DIE);
+            back(g, replica, random.between(600 * MS, 3 * SECOND));
+        }
+    }
+
+    /** The next trouble of a leader waits until the group has all its members again. */
+    private boolean othersAnswer(LabGroup g, int leader) {
+        for (int m = 0; m < members; m++) {
+            if (m != leader && (!g.model.answers(m) || g.model.drains(m))) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    /** One that might be about to take over, or just has, dies too, if another remains. */
+    private void loseElected(LabGroup g) {
+        int victim = (g.model.lastLeader() + 1) % members;
+        int other = (victim + 1) % members == g.model.lastLeader() ? (victim + 2) % members : (victim + 1) % members;
+        if (g.model.leader() < 0 && g.model.answers(victim) && g.model.answers(other)) {
+            befall(g, victim, Kind.DIE);
+            back(g, victim, random.between(SECOND, 3 * SECOND));
+        }
+    }
+
+    private void befall(LabGroup g, int member, Kind kind) {
+        audit.note(time.now(), g.id, -1, g.name(member) + " " + kind);
+        network.at(g, new ModelEvent.Trouble(kind, member));
+    }
+
+    private void back(LabGroup g, int member, long after) {
+        time.after(after, () -> {
+            if (g.model.drains(member) && (g.model.leader() == member || g.model.leader() < 0)) {
+                back(g, member, 500 * MS);
+                return;
+            }
+            befall(g, member, Kind.RETURN);
+            time.after(random.between(20 * MS, 300 * MS), () -> lists.accept(g, member));
+            time.after(random.between(2_800 * MS, 4_900 * MS), () -> {
+                g.shownStart[member] = g.model.startedAt(member);
+                lists.accept(g, member);
+            });
+        });
+    }
+}
