HandoverAudit counts typed violations; its trace and requests are classes of their own

Violation is an enum, counted in one place with the report; AuditTrace keeps the last lines and picks those of a request; AskedRequest is what the audit follows.

--- a/src/main/java/crankwick/lab/HandoverAudit.java
+++ b/src/main/java/crankwick/lab/HandoverAudit.java
@@ -3,8 +3,8 @@
 import crankwick.RouterApi.Result;
 import crankwick.broker.Reply;
 import crankwick.model.ModelEffect;
-import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.EnumMap;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
@@ -27,50 +27,14 @@
     /** Microseconds for finding the new primary and for the write itself. */
     static final long MARGIN = 250_000;
 
-    private static final int TRACE = 20_000;
-    private static final int TRACE_SHOWN = 40;
-
-    /** A request of a client. */
-    static final class Asked {
-        final long ref;
-        final int group;
-        final String key;
-        final long takenAt;
-        final long expires;
-        boolean answered;
-        boolean served;
-        boolean lost;
-        boolean inFlight;
-        String outAt;
-        long outSince;
-        long ranSince = Long.MAX_VALUE;
-        Reach reach = Reach.NOT;
-
-        Asked(long ref, int group, String key, long takenAt, long expires) {
-            this.ref = ref;
-            this.group = group;
-            this.key = key;
-            this.takenAt = takenAt;
-            this.expires = expires;
-        }
-    }
-
-    /** Whether a write could have been served, by the kind of change; COLD: to a primary that is not warm. */
-    private enum Reach {
-        NOT,
-        UNPLANNED,
-        PLANNED,
-        COLD
-    }
-
     private static final class KeyState {
         int applied;
         boolean served;
     }
 
     private static final class GroupWatch {
-        final Map<Long, Asked> open = new HashMap<>();
-        final List<Asked> affected = new ArrayList<>();
+        final Map<Long, AskedRequest> open = new HashMap<>();
+        final List<AskedRequest> affected = new ArrayList<>();
         boolean vacant;
         boolean planned;
         long changes;
@@ -79,46 +43,39 @@
         String serving;
     }
 
-    private record Line(long at, int group, long ref, String text) {}
+    /** What must not happen; in the order in which it is reported. */
+    private enum Violation {
+        APPLIED_TWICE,
+        SERVED_NOT_APPLIED,
+        SECOND_ATTEMPTS,
+        WINDOW_RESENDS,
+        MISDIRECTED,
+        REFUSED_IN_DOUBT,
+        ANSWERS_LATE,
+        ANSWERS_MISSING,
+        DRAIN_VIOLATIONS,
+        PACE_VIOLATIONS,
+        FALLEN
+    }
 
     private final long slack;
     private final long drainGrace;
     private final long keyTtl;
     private final int paceBound;
-    private final Map<Long, Asked> asked = new HashMap<>();
+    private final Map<Long, AskedRequest> asked = new HashMap<>();
     private final Map<String, KeyState> keys = new HashMap<>();
     private final GroupWatch[] groups;
     private final Map<String, Long> withdrawnAt = new HashMap<>();
     private final Set<String> firstOf = new HashSet<>();
-    /** The keys of the last requests, for traces. */
-    private final Map<Long, String> keyOf = new LinkedHashMap<>() {
-        private static final long serialVersionUID = 1;
-
-        @Override
-        protected boolean removeEldestEntry(Map.Entry<Long, String> eldest) {
-            return size() > TRACE;
-        }
-    };
-
-    private final ArrayDeque<Line> trace = new ArrayDeque<>();
+    private final AuditTrace trace = new AuditTrace();
+    private final Map<Violation, Long> violations = new EnumMap<>(Violation.class);
     private String violation;
     private long failovers;
     private long failoversAtViolation;
-    private long appliedTwice;
-    private long servedNotApplied;
-    private long secondAttempts;
-    private long windowResends;
-    private long misdirected;
-    private long refusedInDoubt;
     private long refusedWrites;
     private long refusalWaits;
-    private long answersLate;
-    private long answersMissing;
-    private long drainViolations;
-    private long paceViolations;
-    private long fallen;
-    private final long[] reachable = new long[Reach.values().length];
-    private final long[] reached = new long[Reach.values().length];
+    private final long[] reachable = new long[AskedRequest.Reach.values().length];
+    private final long[] reached = new long[AskedRequest.Reach.values().length];
     private long served;
     private long refused;
     private long failed;
@@ -136,51 +93,28 @@
     }
 
     void note(long now, int group, long ref, String text) {
-        trace.add(new Line(now, group, ref, text));
-        if (trace.size() > TRACE) {
-            trace.remove();
-        }
+        trace.note(now, group, ref, text);
     }
 
-    private void broken(long now, int group, long ref, String what) {
-        broken(now, group, ref, null, what);
+    private void broken(Violation kind, long now, int group, long ref, String what) {
+        broken(kind, now, group, ref, null, what);
     }
 
-    /** Keeps the first violation with what its trace has of the request, the key and the group. */
-    private void broken(long now, int group, long ref, String key, String what) {
+    /** Counts a violation; the first is kept with what the trace has of the request, the key and the group. */
+    private void broken(Violation kind, long now, int group, long ref, String key, String what) {
+        violations.merge(kind, 1L, Long::sum);
         note(now, group, ref, "VIOLATION " + what);
         if (violation == null) {
             failoversAtViolation = failovers;
-            StringBuilder text = new StringBuilder(what)
-                    .append(" in group ")
-                    .append(group)
-                    .append(", request ")
-                    .append(ref)
-                    .append('\n');
-            List<Line> lines = trace.stream()
-                    .filter(l -> l.group == group
-                            && (l.ref == ref
-                                    || l.ref < 0
-                                    || key != null && (l.text.contains(key + " ") || asKeyed(l.ref, key))))
-                    .toList();
-            for (Line line : lines.subList(Math.max(0, lines.size() - TRACE_SHOWN), lines.size())) {
-                text.append(String.format("  %12.3f ms  %s%n", line.at / 1_000.0, line.text));
-            }
-            violation = text.toString();
+            violation = what + " in group " + group + ", request " + ref + '\n' + trace.excerpt(group, ref, key);
         }
     }
 
-    private boolean asKeyed(long ref, String key) {
-        return key.equals(keyOf.get(ref));
-    }
-
-    // ---- What clients see ----------------------------------------------------------------------------
-
-    Asked asked(long now, long ref, int group, String key, long expires) {
-        Asked a = new Asked(ref, group, key, now, expires);
+    AskedRequest asked(long now, long ref, int group, String key, long expires) {
+        AskedRequest a = new AskedRequest(ref, group, key, now, expires);
         asked.put(ref, a);
         if (key != null) {
-            keyOf.put(ref, key);
+            trace.key(ref, key);
             note(now, group, ref, "asked with " + key);
             groups[group].open.put(ref, a);
             if (groups[group].vacant) {
@@ -194,18 +128,16 @@
     }
 
     void answered(long now, long ref, Reply reply) {
-        Asked a = asked.get(ref);
+        AskedRequest a = asked.get(ref);
         if (a == null || a.answered) {
-            answersLate++;
-            broken(now, a == null ? 0 : a.group, ref, "a second answer");
+            broken(Violation.ANSWERS_LATE, now, a == null ? 0 : a.group, ref, "a second answer");
             return;
         }
         note(now, a.group, ref, "answered " + reply);
         a.answered = true;
         a.served = reply instanceof Reply.Served;
         if (now > a.expires + slack) {
-            answersLate++;
-            broken(now, a.group, ref, "answered late");
+            broken(Violation.ANSWERS_LATE, now, a.group, ref, "answered late");
         }
         if (reply instanceof Reply.Served) {
             served++;
@@ -213,8 +145,12 @@
             if (key != null) {
                 key.served = true;
                 if (key.applied != 1) {
-                    servedNotApplied++;
-                    broken(now, a.group, ref, "served, applied " + key.applied + " times");
+                    broken(
+                            Violation.SERVED_NOT_APPLIED,
+                            now,
+                            a.group,
+                            ref,
+                            "served, applied " + key.applied + " times");
                 }
             }
         } else if (reply instanceof Reply.Refused r) {
@@ -223,8 +159,7 @@
             refusalWaits += a.key == null ? 0 : now - a.takenAt;
             refusedWrites += a.key == null ? 0 : 1;
             if (a.ranSince != Long.MAX_VALUE && a.key != null) {
-                refusedInDoubt++;
-                broken(now, a.group, ref, "refused, and may have run");
+                broken(Violation.REFUSED_IN_DOUBT, now, a.group, ref, "refused, and may have run");
             }
         } else {
             failed++;
@@ -235,7 +170,7 @@
     }
 
     /** The proxy's process has ended under the request. */
-    void lost(Asked a) {
+    void lost(AskedRequest a) {
         a.lost = true;
         a.answered = true;
         over(a);
@@ -248,43 +183,41 @@
         }
     }
 
-    private void over(Asked a) {
+    private void over(AskedRequest a) {
         groups[a.group].open.remove(a.ref);
         if (!a.inFlight) {
             asked.remove(a.ref);
         }
     }
 
-    Iterable<Asked> open() {
+    Iterable<AskedRequest> open() {
         return List.copyOf(asked.values()).stream().filter(a -> !a.answered).toList();
     }
 
-    // ---- What databases see --------------------------------------------------------------------------
-
     void sent(long now, long ref, String server) {
-        Asked a = asked.get(ref);
+        AskedRequest a = asked.get(ref);
         if (a == null) {
-            secondAttempts++;
-            broken(now, 0, ref, "sent after its answer");
+            broken(Violation.SECOND_ATTEMPTS, now, 0, ref, "sent after its answer");
             return;
         }
         note(now, a.group, ref, "sent to " + server);
         if (a.inFlight || a.answered) {
-            secondAttempts++;
-            broken(now, a.group, ref, "a second attempt in flight");
+            broken(Violation.SECOND_ATTEMPTS, now, a.group, ref, "a second attempt in flight");
         }
         if (a.key != null && a.ranSince != Long.MAX_VALUE && now >= a.ranSince + keyTtl) {
-            windowResends++;
-            broken(now, a.group, ref, "sent again after its key's window");
+            broken(Violation.WINDOW_RESENDS, now, a.group, ref, "sent again after its key's window");
         }
         GroupWatch g = groups[a.group];
         if (a.key != null && g.serving != null && !g.serving.equals(server)) {
-            misdirected++;
-            broken(now, a.group, ref, "a write to " + server + " while " + g.serving + " serves them");
+            broken(
+                    Violation.MISDIRECTED,
+                    now,
+                    a.group,
+                    ref,
+                    "a write to " + server + " while " + g.serving + " serves them");
         }
         if (now > withdrawnAt.getOrDefault(server, Long.MAX_VALUE / 2) + drainGrace) {
-            drainViolations++;
-            broken(now, a.group, ref, "sent to a withdrawn member");
+            broken(Violation.DRAIN_VIOLATIONS, now, a.group, ref, "sent to a withdrawn member");
         }
         a.inFlight = true;
         a.outAt = server;
@@ -292,7 +225,7 @@
     }
 
     void ended(long now, long ref, Result result) {
-        Asked a = asked.get(ref);
+        AskedRequest a = asked.get(ref);
         if (a == null) {
             return;
         }
@@ -315,16 +248,14 @@
             KeyState key = keys.get(e.key());
             note(now, group, 0, e.key() + " applied");
             if (++key.applied > 1) {
-                appliedTwice++;
-                broken(now, group, -1, e.key(), e.key() + " applied twice");
+                broken(Violation.APPLIED_TWICE, now, group, -1, e.key(), e.key() + " applied twice");
             }
         } else if (effect instanceof ModelEffect.Undone e) {
             KeyState key = keys.get(e.key());
             key.applied--;
             note(now, group, 0, e.key() + " undone");
             if (key.served) {
-                servedNotApplied++;
-                broken(now, group, -1, e.key(), e.key() + " served and lost");
+                broken(Violation.SERVED_NOT_APPLIED, now, group, -1, e.key(), e.key() + " served and lost");
             }
         } else if (effect instanceof ModelEffect.Vacant e) {
             note(now, group, -1, "vacant after " + e.old() + (e.planned() ? ", planned" : ""));
@@ -340,8 +271,7 @@
             g.leader = "g" + group + "m" + e.member();
             g.vacant = false;
         } else if (effect instanceof ModelEffect.Fell e) {
-            fallen++;
-            broken(now, group, -1, "member " + e.member() + " fell over");
+            broken(Violation.FALLEN, now, group, -1, "member " + e.member() + " fell over");
         }
     }
 
@@ -357,13 +287,15 @@
         if (g.changes != change || g.vacant) {
             return;
         }
-        for (Asked a : g.affected) {
+        for (AskedRequest a : g.affected) {
             long ran = Math.min(
                     a.ranSince,
                     a.inFlight && !a.outAt.equals(leader) && a.outSince < ledAt ? a.outSince : Long.MAX_VALUE);
             boolean doubtful = ran != Long.MAX_VALUE && ran + keyTtl < ledAt + MARGIN;
             if (!a.lost && !doubtful && a.expires >= ledAt + MARGIN) {
-                a.reach = cold ? Reach.COLD : g.planned ? Reach.PLANNED : Reach.UNPLANNED;
+                a.reach = cold
+                        ? AskedRequest.Reach.COLD
+                        : g.planned ? AskedRequest.Reach.PLANNED : AskedRequest.Reach.UNPLANNED;
                 if (a.answered) {
                     count(a);
                 }
@@ -372,14 +304,14 @@
         g.affected.clear();
     }
 
-    private void count(Asked a) {
-        if (a.reach != Reach.NOT && !a.lost) {
+    private void count(AskedRequest a) {
+        if (a.reach != AskedRequest.Reach.NOT && !a.lost) {
             reachable[a.reach.ordinal()]++;
             reached[a.reach.ordinal()] += a.served ? 1 : 0;
             if (!a.served) {
                 note(a.expires, a.group, a.ref, "reachable and not served");
             }
-            a.reach = Reach.NOT;
+            a.reach = AskedRequest.Reach.NOT;
         }
     }
 
@@ -394,21 +326,17 @@
     /** So many held requests were let go in the step that brought a new leader. */
     void released(long now, int count) {
         if (count > paceBound) {
-            paceViolations++;
-            broken(now, 0, -1, count + " requests let go at once");
+            broken(Violation.PACE_VIOLATIONS, now, 0, -1, count + " requests let go at once");
         }
     }
 
     /** Everything has come to rest: nobody may still wait. */
     void end(long now) {
-        for (Asked a : open()) {
-            answersMissing++;
-            broken(now, a.group, a.ref, "never answered");
+        for (AskedRequest a : open()) {
+            broken(Violation.ANSWERS_MISSING, now, a.group, a.ref, "never answered");
         }
     }
 
-    // ---- Results -------------------------------------------------------------------------------------
-
     long failovers() {
         return failovers;
     }
@@ -422,38 +350,22 @@
         Map<String, Object> all = new LinkedHashMap<>();
         all.put("failovers", failovers);
         all.put("keys", (long) keys.size());
-        all.put("applied_twice", appliedTwice);
-        all.put("served_not_applied", servedNotApplied);
-        all.put("second_attempts", secondAttempts);
-        all.put("window_resends", windowResends);
-        all.put("misdirected", misdirected);
-        all.put("refused_in_doubt", refusedInDoubt);
-        all.put("answers_late", answersLate);
-        all.put("answers_missing", answersMissing);
-        all.put("drain_violations", drainViolations);
-        all.put("pace_violations", paceViolations);
-        all.put("fallen", fallen);
-        all.put(
-                "violations",
-                appliedTwice
-                        + servedNotApplied
-                        + secondAttempts
-                        + windowResends
-                        + misdirected
-                        + refusedInDoubt
-                        + answersLate
-                        + answersMissing
-                        + drainViolations
-                        + paceViolations
-                        + fallen);
+        long sum = 0;
+        for (Violation kind : Violation.values()) {
+            long count = violations.getOrDefault(kind, 0L);
+            all.put(kind.name().toLowerCase(Locale.ROOT), count);
+            sum += count;
+        }
+        all.put("violations", sum);
         all.put("first_violation_after", violation == null ? -1 : failoversAtViolation);
-        int unplanned = Reach.UNPLANNED.ordinal();
-        int planned = Reach.PLANNED.ordinal();
+        int unplanned = AskedRequest.Reach.UNPLANNED.ordinal();
+        int planned = AskedRequest.Reach.PLANNED.ordinal();
         all.put("reachable", reachable[unplanned] + reachable[planned]);
         all.put(
                 "served_of_reachable",
                 share(reached[unplanned] + reached[planned], reachable[unplanned] + reachable[planned]));
-        for (Reach reach : List.of(Reach.UNPLANNED, Reach.PLANNED, Reach.COLD)) {
+        for (AskedRequest.Reach reach :
+                List.of(AskedRequest.Reach.UNPLANNED, AskedRequest.Reach.PLANNED, AskedRequest.Reach.COLD)) {
             String name = reach.name().toLowerCase(Locale.ROOT);
             all.put("reachable_" + name, reachable[reach.ordinal()]);
             all.put("served_of_reachable_" + name, share(reached[reach.ordinal()], reachable[reach.ordinal()]));
--- a/src/main/java/crankwick/lab/HandoverLab.java
+++ b/src/main/java/crankwick/lab/HandoverLab.java
@@ -281,7 +281,7 @@
         restarts++;
         audit.restarted();
         network.reset();
-        for (HandoverAudit.Asked a : audit.open()) {
+        for (AskedRequest a : audit.open()) {
             audit.lost(a);
             audit.ended(time.now(), a.ref, Result.NOT_SENT);
             Wish wish = wishes.remove(a.ref);
