--- a/src/test/java/crankwick/ManyGatewaysTest.java
+++ b/src/test/java/crankwick/LargeFleetTest.java
@@ -16,7 +16,7 @@
 import org.junit.jupiter.api.Test;
 
 /** Hundreds of gateways, each of which meets a server every few seconds. */
-class ManyGatewaysTest {
+class LargeFleetTest {
     private static final long MS = Rig.MS;
 
     private static Rig known(int instances) {
