--- a/src/main/java/crankwick/Router.java
+++ b/src/main/java/crankwick/Router.java
@@ -8,6 +8,7 @@
 import crankwick.RouterState.Server;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.EnumMap;
 import java.util.EnumSet;
 import java.util.HashMap;
 import java.util.Iterator;
@@ -26,8 +27,6 @@
  * fresh reads go to the primary. See docs/design.md.
  */
 public final class Router implements RouterApi {
-    // ---- Tuned constants -----------------------------------------------------------------------------
-
     private static final long MS = 1_000;
     private static final long SECOND = 1_000 * MS;
     /**
@@ -35,17 +34,21 @@
      * member to this gateway; a member heard longer ago is asked before it is used, while probes are earned.
      */
     private static final long FRESH = 300 * MS;
+
     private static final double BELIEF_GAPS = 4;
     /** An asked member silent for so long: is passed over; has safe work withdrawn; counts as lost. */
     private static final long ASK_WAIT = 25 * MS;
+
     private static final long SILENCE = 80 * MS;
     private static final long LOST_AFTER = 400 * MS;
     /** A member is asked again after about a report's period; later if silent or far behind a token. */
     private static final long ASK_AGAIN = 80 * MS;
+
     private static final long ASK_FAR = 500 * MS;
     private static final long ASK_REACH = SECOND;
     /** Probes earned by each request: at most, and as points spent on them; saved up for a start. */
     private static final double PROBE_EARN = 1;
+
     private static final double PROBE_POINTS = 0.03;
     private static final double PROBE_MAX = 40;
     /**
@@ -53,6 +56,7 @@
      * for each e-fold that probes are dearer: the longest works are exponentially fewer.
      */
     private static final double DOUBT = 2.5;
+
     private static final double DOUBT_RISE = 2;
     /** At this price of probes, in points for one a request, the spans between questions are as stated. */
     private static final double PROBE_PRICE = 0.02;
@@ -60,20 +64,25 @@
     private static final double OVERDUE = 5;
     /** A class's usual duration is held at a low quantile, so that overload hardly lifts it. */
     private static final double CLASS_GAIN = 0.02;
+
     private static final double CLASS_QUANTILE = 0.3;
     /** A member's latency in usual durations: the mean over that quantile, unless it has shown another. */
     private static final double LATENCY_CALM = 1.8;
+
     private static final double LATENCY_GAIN = 0.2;
     /** The same of all members of a role, attempts that were withdrawn or timed out among them. */
     private static final double ROLE_GAIN = 0.05;
     /** What was learnt or reported of a member fades, so that it is tried again. */
     private static final long LATENCY_MEMORY = 2 * SECOND;
+
     private static final long QUEUE_MEMORY = SECOND;
     /** Requests that a member has in work at once, about, and what each further one adds to an answer. */
     private static final double PARALLEL = 3;
+
     private static final double QUEUE_STEP = 2.5 / PARALLEL;
     /** From this share of busy cores on, work only queues; below the second, a primary has room for reads. */
     private static final double FULL_USE = 0.9;
+
     private static final double SPARE_USE = 0.8;
     /** Lag of a busy replica at which the worthiest class leaves it alone; others at their share of it. */
     private static final long CROWDED_LAG = 1_500 * MS;
@@ -83,21 +92,26 @@
     private static final double ZONE_AVERSION = 50;
     /** Answers later than this share of the aim, or a replica so far behind, cut the limit by a fifth. */
     private static final double LATE_SHARE = 0.45;
+
     private static final long LATE_LAG = 600 * MS;
     private static final double LIMIT_CUT = 0.8;
     /** Concurrency limit at the start and at least, over all instances; the latter a second where cold. */
     private static final double LIMIT_START = 18;
+
     private static final double LIMIT_MIN = 3;
     private static final double LIMIT_RISE = 0.3;
     /** Share of recent attempts that fail before a member is ejected: under half, it still helps. */
     private static final double EJECT_FAILURES = 0.5;
+
     private static final double FAILURE_GAIN = 0.2;
     /** First exclusion, past short pauses; it doubles with each strike, and strikes fade. */
     private static final long EJECT_FIRST = 400 * MS;
+
     private static final long EJECT_MAX = 4 * SECOND;
     private static final long STRIKE_MEMORY = 10 * SECOND;
     /** Where replicas check reads: how far behind one may be to be tried (a report's age), and its rest. */
     private static final long CLOSE_BEHIND = 500 * MS;
+
     private static final long MISS_REST = 40 * MS;
     /** A role not heard for this long may be tried again by a write. */
     private static final long ROLE_MEMORY = 2 * SECOND;
@@ -105,20 +119,18 @@
     private static final double COLD_SHARE = 0.65;
     /** Sends are counted over this span; the fleet's use is smoothed, and never taken as less than this. */
     private static final long RATE_SPAN = 5 * SECOND;
+
     private static final double USE_GAIN = 0.05;
     private static final double USE_LEAST = 0.4;
     /** Further attempts for each request taken, and how many may be saved up. */
     private static final double RESEND_EARN = 0.25;
+
     private static final double RESEND_MAX = 30;
-    /** Sessions remembered for each group; older ones fold into the group's floor. */
-    private static final int SESSIONS_MAX = 20_000;
     /** Final answers come this long before the client leaves. */
     private static final long GIVE_UP_MARGIN = 30 * MS;
     /** A client with less of an aim left than this came impatient; it is no later try. */
     private static final double IMPATIENT = 0.65;
-    /** Agreeing requests before the time that a class's clients bring counts as known, and at most. */
-    private static final int VOTES_LEAST = 3;
-    private static final int VOTES_MAX = 30;
+
     private static final long DISCOVERY_BACKOFF = 500 * MS;
     private static final long WATCH_TIMER = 0;
     /** A server that has left the list and was not heard for so long is forgotten. */
@@ -127,34 +139,32 @@
     private static final Set<Result> LIFE = EnumSet.of(Result.OK, Result.ERROR, Result.FULL, Result.MISS);
     /** Outcomes that tell how long an answer takes, or has taken at least. */
     private static final Set<Result> TIMED = EnumSet.of(Result.OK, Result.TIMEOUT, Result.CANCELLED);
+
     private static final Set<Result> FAILURES =
             EnumSet.of(Result.ERROR, Result.RESET, Result.FULL, Result.UNREACHABLE, Result.DROPPED);
 
-    // ---- State ---------------------------------------------------------------------------------------
-
     private final Settings settings;
     private final SplittableRandom random;
     private final Map<String, Server> servers = new LinkedHashMap<>();
     private final Map<Long, Group> groups = new LinkedHashMap<>();
     private final Map<Long, Pending> open = new HashMap<>();
     private final List<Integer> classOrder = new ArrayList<>();
-    private final double[] usual;
-    private final long[] firstWait;
-    private final int[] votes;
+    private final List<QuantileEstimate> usual = new ArrayList<>();
+    private final List<FirstTryPatience> firstTries = new ArrayList<>();
     private final double probeEarn;
     /** How many times dearer than that probes are, 1 at least. */
     private final double dear;
+
     private final double doubt;
     private double mostWorth;
     private double resends = RESEND_MAX;
     private double probeCredit = PROBE_MAX;
     /** Whether asking a member can tell how busy it is. */
     private boolean reportsLoad;
-    private double sends;
-    private long sendsAt;
+
+    private final DecayingCount sends = new DecayingCount(RATE_SPAN);
     private double fleetUse = 1;
-    private final double[] roleLatency = new double[Role.values().length];
-    private final long[] roleLatencyAt = new long[roleLatency.length];
+    private final Map<Role, FadingMean> roleLatency = new EnumMap<>(Role.class);
     private long discoveryBackoff = DISCOVERY_BACKOFF;
     private long now;
     private long belief;
@@ -165,14 +175,17 @@
         this.settings = settings;
         random = new SplittableRandom(seed);
         List<RequestClass> classes = settings.classes();
-        probeEarn = Math.min(PROBE_EARN, PROBE_POINTS / Math.max(1e-9, settings.prices().probe()));
+        probeEarn = Math.min(
+                PROBE_EARN, PROBE_POINTS / Math.max(1e-9, settings.prices().probe()));
         dear = Math.max(1, settings.prices().probe() / PROBE_PRICE);
         doubt = DOUBT + DOUBT_RISE * Math.log(dear);
-        usual = new double[classes.size()];
-        firstWait = new long[classes.size()];
-        votes = new int[classes.size()];
-        for (int i = 0; i < usual.length; i++) {
-            usual[i] = classes.get(i).aim() / 8.0;
+        for (Role role : Role.values()) {
+            roleLatency.put(role, new FadingMean(ROLE_GAIN, LATENCY_CALM, LATENCY_MEMORY));
+        }
+        for (int i = 0; i < classes.size(); i++) {
+            usual.add(new QuantileEstimate(
+                    CLASS_GAIN, CLASS_QUANTILE, classes.get(i).aim() / 8.0));
+            firstTries.add(new FirstTryPatience(GIVE_UP_MARGIN));
             classOrder.add(i);
             mostWorth = Math.max(mostWorth, classes.get(i).worth());
         }
@@ -183,8 +196,6 @@
         return settings.classes().get(cls).worth() / settings.classes().get(cls).aim();
     }
 
-    // ---- Events --------------------------------------------------------------------------------------
-
     /** Takes one event at the caller's time and carries its decisions out on {@code actions}. */
     public void handle(long time, Event event, Actions actions) {
         now = time;
@@ -210,7 +221,7 @@
     private void onRequest(Request r) {
         RequestClass kind = settings.classes().get(r.cls());
         // Guards against a group for each number that clients make up: one without members is not kept.
-        Group g = groups.getOrDefault(r.group(), new Group(r.group(), usual.length));
+        Group g = groups.getOrDefault(r.group(), new Group(r.group(), usual.size()));
         Pending p = new Pending(r, kind, g, tokenOf(r, kind, g), firstAsked(r, kind));
         open.put(r.id(), p);
         resends = Math.min(RESEND_MAX, resends + RESEND_EARN);
@@ -282,14 +293,18 @@
     /** Guards against keeping, for good, each server there ever was. */
     private void forgetGone() {
         for (Group g : groups.values()) {
-            g.members.removeIf(s -> !s.listed && s.inFlight == 0
-                    && now - Math.max(s.unlistedAt, s.heardAt) > GONE_MEMORY);
+            g.members.removeIf(this::isLongGone);
             g.primary = g.members.contains(g.primary) ? g.primary : null;
         }
         servers.values().removeIf(s -> !s.group.members.contains(s));
         groups.values().removeIf(g -> g.members.isEmpty() && g.out.isEmpty());
     }
 
+    private boolean isLongGone(Server s) {
+        long lastKnown = Math.max(s.unlistedAt, s.heardAt);
+        return !s.listed && s.inFlight == 0 && now - lastKnown > GONE_MEMORY;
+    }
+
     /** Servers and groups that are kept, listed or not. */
     int known() {
         return servers.size() + groups.size();
@@ -305,8 +320,6 @@
         }
     }
 
-    // ---- Knowledge -----------------------------------------------------------------------------------
-
     private Group group(long id) {
         return groups.computeIfAbsent(id, k -> new Group(k, settings.classes().size()));
     }
@@ -319,7 +332,7 @@
     private void hearListed(Member m) {
         Server s = servers.get(m.server());
         if (s == null) {
-            s = new Server(m, group(m.group()));
+            s = new Server(m, group(m.group()), new DecayingCount(STRIKE_MEMORY));
             s.latency = LATENCY_CALM;
             s.limit = Math.max(1, LIMIT_START / settings.instances());
             servers.put(s.id, s);
@@ -410,9 +423,7 @@
             remember(p, o.position());
         }
         if (TIMED.contains(o.result())) {
-            double before = roleLatency(s.role);
-            roleLatency[s.role.ordinal()] = before + ROLE_GAIN * (o.duration() / usual(p) - before);
-            roleLatencyAt[s.role.ordinal()] = now;
+            roleLatency.get(s.role).learn(o.duration() / usual(p), now);
         }
         if (o.result() == Result.OK) {
             sample(s, p, o.duration());
@@ -433,8 +444,7 @@
     }
 
     private void sample(Server s, Pending p, long duration) {
-        boolean above = duration > usual(p);
-        usual[p.request.cls()] *= 1 + CLASS_GAIN * (above ? CLASS_QUANTILE : CLASS_QUANTILE - 1);
+        usual.get(p.request.cls()).learn(duration);
         s.latency = latency(s) + LATENCY_GAIN * (duration / usual(p) - latency(s));
         s.latencyAt = now;
         if (duration > LATE_SHARE * p.kind.aim()) {
@@ -449,13 +459,15 @@
     }
 
     private double usual(Pending p) {
-        return usual[p.request.cls()];
+        return usual.get(p.request.cls()).value();
     }
 
     private double latency(Server s) {
+        if (s.inFlight > 0) {
+            return s.latency;
+        }
         double otherwise = s.role == Role.REPLICA ? roleLatency(s.role) : LATENCY_CALM;
-        return s.inFlight > 0 ? s.latency
-                : otherwise + left(s.latencyAt, LATENCY_MEMORY) * (s.latency - otherwise);
+        return otherwise + left(s.latencyAt, LATENCY_MEMORY) * (s.latency - otherwise);
     }
 
     /**
@@ -463,8 +475,7 @@
      * seconds, so only all together tell it of a rush in time. It may hurt where some groups are slow alone.
      */
     private double roleLatency(Role role) {
-        int i = role.ordinal();
-        return LATENCY_CALM + left(roleLatencyAt[i], LATENCY_MEMORY) * (roleLatency[i] - LATENCY_CALM);
+        return roleLatency.get(role).at(now);
     }
 
     /** Usual durations that an answer takes there: as its answers have it, or as its report does. */
@@ -482,17 +493,9 @@
         if (settings.tokensCarried() || p.request.session() == NONE || commit == NONE) {
             return;
         }
-        Map<Long, Long> tokens = p.group.tokens;
-        tokens.merge(p.request.session(), commit, Math::max);
-        if (tokens.size() > SESSIONS_MAX) {
-            Iterator<Map.Entry<Long, Long>> eldest = tokens.entrySet().iterator();
-            p.group.floor = Math.max(p.group.floor, eldest.next().getValue());
-            eldest.remove();
-        }
+        p.group.tokens.remember(p.request.session(), commit);
     }
 
-    // ---- Read path -----------------------------------------------------------------------------------
-
     /** The token a read owes at its arrival; a bounded read's moves with time, see {@link #owed}. */
     private long tokenOf(Request r, RequestClass kind, Group g) {
         if (kind.need() != Need.SESSION) {
@@ -501,7 +504,7 @@
         if (settings.tokensCarried()) {
             return r.tokenAge() > 0 ? now - r.tokenAge() : Long.MIN_VALUE;
         }
-        return g.tokens.getOrDefault(r.session(), g.floor);
+        return g.tokens.get(r.session());
     }
 
     private long owed(Pending p) {
@@ -521,8 +524,8 @@
     private boolean perhapsFreshEnough(Server s, Pending p) {
         boolean close = s.positionAt - s.position < CLOSE_BEHIND;
         long gained = Math.max(close ? CLOSE_BEHIND : 0, now - s.positionAt);
-        return (s.position == Long.MIN_VALUE || owed(p) - s.position < gained)
-                && now - s.missedAt > MISS_REST;
+        boolean perhaps = s.position == Long.MIN_VALUE || owed(p) - s.position < gained;
+        return perhaps && now - s.missedAt > MISS_REST;
     }
 
     /** Draws among the group's replicas that pass, each by its weight. */
@@ -564,8 +567,10 @@
      */
     private boolean spare(Pending p) {
         Server primary = p.group.primary;
-        return primary != null && (reportsLoad || !crowd() || roleLatency(Role.PRIMARY) <= LATENCY_CALM)
-                && showsFree(primary, SPARE_USE) && full(p)
+        return primary != null
+                && (reportsLoad || !crowd() || roleLatency(Role.PRIMARY) <= LATENCY_CALM)
+                && showsFree(primary, SPARE_USE)
+                && full(p)
                 && p.group.out.values().stream().noneMatch(o -> o.at == primary && needsPrimary(o));
     }
 
@@ -596,8 +601,6 @@
         return true;
     }
 
-    // ---- Waiting -------------------------------------------------------------------------------------
-
     /** After any news of a group: what can go goes, what must be known is asked, the next look is armed. */
     private void settle(Group g) {
         checkWork(g);
@@ -656,13 +659,8 @@
         if (left < IMPATIENT * kind.aim()) {
             return now;
         }
-        boolean usualTime = Math.abs(left - firstWait[r.cls()]) <= GIVE_UP_MARGIN;
-        votes[r.cls()] = Math.min(VOTES_MAX, votes[r.cls()] + (usualTime ? 1 : -1));
-        if (votes[r.cls()] < 0) {
-            firstWait[r.cls()] = left;
-            votes[r.cls()] = 1;
-        }
-        return usualTime || votes[r.cls()] < VOTES_LEAST ? now : Math.min(now, r.expires() - kind.deadline());
+        boolean first = firstTries.get(r.cls()).isFirstTry(left);
+        return first ? now : Math.min(now, r.expires() - kind.deadline());
     }
 
     /** Load shedding: no member gets what it can't be expected to answer in time; late work only if calm. */
@@ -677,7 +675,10 @@
      * own limits can't keep its log's thread from starving. It may hurt where lag has another cause.
      */
     private boolean crowded(Server s, Pending p) {
-        return crowd() && now - s.reportAt <= FRESH && s.use > FULL_USE && s.role == Role.REPLICA
+        return crowd()
+                && now - s.reportAt <= FRESH
+                && s.use > FULL_USE
+                && s.role == Role.REPLICA
                 && s.positionAt - s.position > CROWDED_LAG * p.kind.worth() / mostWorth;
     }
 
@@ -755,9 +756,14 @@
                 return;
             }
         }
-        Server pick = draw(p, s -> askable(s) && (reportsLoad || !evident(s) || !freshEnough(s, p))
-                && (now - s.probedAt > ASK_FAR * dear || !silent(s, ASK_WAIT)
-                && (freshEnough(s, p) || owed(p) - s.position < ASK_REACH + now - s.positionAt)));
+        Server pick = draw(
+                p,
+                s -> askable(s)
+                        && (reportsLoad || !evident(s) || !freshEnough(s, p))
+                        && (now - s.probedAt > ASK_FAR * dear
+                                || !silent(s, ASK_WAIT)
+                                        && (freshEnough(s, p)
+                                                || owed(p) - s.position < ASK_REACH + now - s.positionAt)));
         if (pick != null) {
             probe(pick);
         } else if (primary != null && now - primary.reportAt > FRESH && askable(primary) && full(p)) {
@@ -793,8 +799,6 @@
         return (long) (span * (0.8 + 0.4 * random.nextDouble()));
     }
 
-    // ---- Primary -------------------------------------------------------------------------------------
-
     private boolean needsPrimary(Pending p) {
         return p.kind.need() == Need.WRITE || p.kind.need() == Need.FRESH;
     }
@@ -818,19 +822,18 @@
         return null;
     }
 
-    // ---- Attempts ------------------------------------------------------------------------------------
-
     private void send(Pending p, Server s) {
         p.attempts++;
         p.at = s;
         p.sentAt = now;
         p.checkAt = p.kind.repeat() == Repeat.SAFE && settings.limits().probes()
-                ? now + (long) (doubt * usual(p) * expected(s)) : Long.MAX_VALUE;
+                ? now + (long) (doubt * usual(p) * expected(s))
+                : Long.MAX_VALUE;
         p.group.out.put(p.request.id(), p);
         s.inFlight++;
         s.sentAt = now;
         s.coldCredit--;
-        sends = recentSends() + 1;
+        sends.add(now);
         if (s.outUntil != NONE) {
             leaveOut(s);
         }
@@ -838,18 +841,22 @@
     }
 
     private boolean mayRefuse(Pending p) {
-        return p.kind.repeat() == Repeat.SAFE || p.ranAt == null
+        return p.kind.repeat() == Repeat.SAFE
+                || p.ranAt == null
                 || p.kind.repeat() == Repeat.KEYED && p.kind.scope() == Scope.ALL;
     }
 
     private boolean repeatAllowedAt(Pending p, Server s) {
-        return p.ranAt == null || p.kind.repeat() == Repeat.SAFE || p.kind.repeat() == Repeat.KEYED
-                && now - p.ranSince < p.kind.keyTtl()
-                && (p.kind.scope() != Scope.ZONE || s.zone == p.ranAt.zone);
+        return p.ranAt == null
+                || p.kind.repeat() == Repeat.SAFE
+                || p.kind.repeat() == Repeat.KEYED
+                        && now - p.ranSince < p.kind.keyTtl()
+                        && (p.kind.scope() != Scope.ZONE || s.zone == p.ranAt.zone);
     }
 
     private boolean mayResend(Pending p) {
-        return p.attempts < settings.limits().maxAttempts() && now < p.request.expires() - GIVE_UP_MARGIN
+        return p.attempts < settings.limits().maxAttempts()
+                && now < p.request.expires() - GIVE_UP_MARGIN
                 && repeatAllowedAt(p, p.ranAt);
     }
 
@@ -886,16 +893,14 @@
     /** Much longer out than is expected at a member that answers and shows no load: likely lost. */
     private boolean lost(Pending p) {
         double expected = Math.max(expected(p.at), roleLatency(p.at.role));
-        return now - p.sentAt > OVERDUE * usual(p) * expected && now + calm(p) < useful(p)
-                && showsFree(p.at, FULL_USE);
+        boolean overdue = now - p.sentAt > OVERDUE * usual(p) * expected;
+        return overdue && now + calm(p) < useful(p) && showsFree(p.at, FULL_USE);
     }
 
     private boolean showsFree(Server s, double use) {
         return now - s.reportAt <= FRESH && s.queue == 0 && s.use < use;
     }
 
-    // ---- Health and room -----------------------------------------------------------------------------
-
     private boolean listed(Server s) {
         return !s.draining && (s.listed || settings.rules().onlyDrainingBinds());
     }
@@ -915,8 +920,8 @@
      * for primaries: what is written to one that has stopped can't be withdrawn, and waits for its successor.
      */
     private long belief() {
-        return Math.max(FRESH, (long) Math.min(RATE_SPAN, BELIEF_GAPS * servers.size() * RATE_SPAN
-                / Math.max(1, recentSends())));
+        return Math.max(FRESH, (long)
+                Math.min(RATE_SPAN, BELIEF_GAPS * servers.size() * RATE_SPAN / Math.max(1, recentSends())));
     }
 
     /**
@@ -926,14 +931,19 @@
      */
     private boolean evident(Server s) {
         long span = s == s.group.primary ? (long) Math.min(RATE_SPAN, FRESH * dear) : belief;
-        return !settings.limits().probes() || !silent(s, ASK_WAIT)
-                && (now - s.heardAt <= span || s.heardAt == RouterState.NEVER || probeCredit < 1);
+        return !settings.limits().probes()
+                || !silent(s, ASK_WAIT)
+                        && (now - s.heardAt <= span || s.heardAt == RouterState.NEVER || probeCredit < 1);
     }
 
     private boolean usable(Server s, Pending p) {
         boolean trial = s.outUntil <= now && s.inFlight == 0;
-        return listed(s) && (s.outUntil == NONE || trial) && evident(s) && repeatAllowedAt(p, s)
-                && hasRoom(s, p) && inTime(s, p);
+        return listed(s)
+                && (s.outUntil == NONE || trial)
+                && evident(s)
+                && repeatAllowedAt(p, s)
+                && hasRoom(s, p)
+                && inTime(s, p);
     }
 
     /**
@@ -942,7 +952,8 @@
      */
     private boolean hasRoom(Server s, Pending p) {
         double warmth = warmth(s);
-        return s.inFlight < Math.max(1, s.limit * warmth * warmth) && (warmth >= 1 || coldBudgetLeft(s))
+        return s.inFlight < Math.max(1, s.limit * warmth * warmth)
+                && (warmth >= 1 || coldBudgetLeft(s))
                 && (s.limit >= 1 || now - s.sentAt >= usual(p) * latency(s) / s.limit);
     }
 
@@ -988,16 +999,13 @@
 
     /** What has failed or been silent again and again is drawn less and left out longer than once. */
     private void strike(Server s) {
-        s.strikes = strikes(s) + 1;
-        s.struckAt = now;
+        s.strikes.add(now);
     }
 
     private double strikes(Server s) {
-        return s.strikes * Math.exp((s.struckAt - now) / (double) STRIKE_MEMORY);
+        return s.strikes.at(now);
     }
 
-    // ---- Cold start ----------------------------------------------------------------------------------
-
     /** The share of its capacity that a member has for certain, by the settings' worst case. */
     private double warmth(Server s) {
         long ramp = settings.rules().rampTime();
@@ -1028,18 +1036,20 @@
      * all gateways doing so keep the sum under the multiple.
      */
     private boolean coldBudgetLeft(Server s) {
-        long warm = Math.max(1, servers.values().stream().filter(m -> listed(m) && warmth(m) >= 1).count());
+        long warm = Math.max(
+                1,
+                servers.values().stream()
+                        .filter(m -> listed(m) && warmth(m) >= 1)
+                        .count());
         double capacity = recentSends() * SECOND / RATE_SPAN / warm / Math.max(USE_LEAST, fleetUse);
-        double rate = Math.max(LIMIT_MIN / settings.instances(),
-                COLD_SHARE * settings.rules().fallMultiple() * warmth(s) * capacity);
+        double allowed = COLD_SHARE * settings.rules().fallMultiple() * warmth(s) * capacity;
+        double rate = Math.max(LIMIT_MIN / settings.instances(), allowed);
         s.coldCredit = Math.min(1.5, s.coldCredit + rate * (now - s.creditAt) / SECOND);
         s.creditAt = now;
         return s.coldCredit >= 1;
     }
 
     private double recentSends() {
-        sends *= Math.exp((sendsAt - now) / (double) RATE_SPAN);
-        sendsAt = now;
-        return sends;
+        return sends.at(now);
     }
 }
