--- a/src/main/java/crankwick/Router.java
+++ b/src/main/java/crankwick/Router.java
@@ -747,10 +747,10 @@
             }
         }
         Server pick = draw(p, s -> mayProbe(s) && isWorthProbing(s, p));
-        boolean primaryIsUnknown = primary != null && now - primary.reportAt > FRESH;
+        boolean reportIsOld = primary != null && now - primary.reportAt > FRESH;
         if (pick != null) {
             probe(pick);
-        } else if (primaryIsUnknown && mayProbe(primary) && replicasFull(p)) {
+        } else if (reportIsOld && mayProbe(primary) && replicasFull(p)) {
             probe(primary);
         }
     }
