Log a request's transitions, why a command was withheld, pauses of reading; counters every 10 s

BeginDecision names why a command was not written. Counters of client connections (pauses of reading among them) and of connections to databases join the broker's; all are logged every 10 s, at SIGTERM and at the end. A pause of over 50 ms, SIGHUP, and an end with requests not answered have lines of their own.

--- a/src/main/java/crankwick/app/Service.java
+++ b/src/main/java/crankwick/app/Service.java
@@ -28,6 +28,9 @@
     /** After SIGTERM new connections arrive for up to 0.4 s; until then everything goes on. */
     private static final long LINGER = 450_000;
 
+    /** How often the counters are logged: a process that is killed has no last word. */
+    private static final long COUNTERS_EVERY = 10_000_000;
+
     private static final long CLOSE_CHECK = 10_000;
     /** The platform kills no sooner after SIGTERM than the longest deadline, at most this, and this more. */
     private static final long KILL_AFTER_DEADLINE_MOST = 3_000_000;
@@ -54,6 +57,8 @@
     private final EffectRunner runner;
     private final ClientFront front;
     private Discovery discovery;
+    private volatile DatabasePool pool;
+    private String lastCounters = "";
     private final CountDownLatch closed = new CountDownLatch(1);
 
     /** {@code changes} of primaries are left to the router alone where null. */
@@ -83,7 +88,7 @@
             Discovery.News known,
             BiFunction<EventLoop, Clock, Discovery> discoveryOn)
             throws IOException {
-        DatabasePool pool = new DatabasePool(
+        pool = new DatabasePool(
                 runner,
                 transport,
                 wire.database(),
@@ -96,6 +101,7 @@
             runner.attach(front, pool);
             onListed(known);
             discovery.start();
+            loop.after(COUNTERS_EVERY, this::logCounters);
         });
         front.listen(transport, listen, wire.front());
     }
@@ -112,6 +118,7 @@
     void reload() {
         loop.execute(() -> {
             if (discovery != null) {
+                LOG.info("{} reads its configuration again", wire.name());
                 discovery.reload();
             }
         });
@@ -129,6 +136,7 @@
     /** Serves on while clients may still come, then answers what is owed. */
     void beginClose() {
         long latest = clock.now() + timeToEnd();
+        loop.execute(() -> LOG.info("{} told to end, {} requests open: {}", wire.name(), broker.owed(), allCounters()));
         loop.after(Math.min(LINGER, timeToEnd() / 2), () -> {
             front.close(latest - LAST_ANSWERS_BEFORE_END);
             awaitEnd(latest);
@@ -142,14 +150,30 @@
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
-        LOG.info("{} counters: {}", wire.name(), broker.counters());
+        LOG.info("{} counters: {}", wire.name(), allCounters());
         if (broker.handover() != null) {
             LOG.info("{} handover: {}", wire.name(), broker.handover().counters());
         }
     }
 
+    private String allCounters() {
+        return broker.counters() + " clients: " + front.counters() + " databases: " + pool.counters();
+    }
+
+    private void logCounters() {
+        String now = allCounters();
+        if (!now.equals(lastCounters)) {
+            lastCounters = now;
+            LOG.info("{} counted so far: {}", wire.name(), now);
+        }
+        loop.after(COUNTERS_EVERY, this::logCounters);
+    }
+
     private void awaitEnd(long latest) {
         if (front.isEmpty() && broker.owed() == 0 || clock.now() > latest) {
+            if (broker.owed() > 0 || !front.isEmpty()) {
+                LOG.warn("{} ends with {} requests not answered", wire.name(), broker.owed());
+            }
             if (discovery != null) {
                 discovery.close();
             }
--- a/src/main/java/crankwick/broker/Broker.java
+++ b/src/main/java/crankwick/broker/Broker.java
@@ -39,6 +39,7 @@
         final Call call;
         final Account account;
         final long expires;
+        final RequestHistory history;
         int attempts;
         boolean inFlight;
         boolean written;
@@ -53,10 +54,11 @@
         /** Not told to the router yet. */
         boolean held;
 
-        Life(Call call, Account account, long expires) {
+        Life(Call call, Account account, long expires, RequestHistory history) {
             this.call = call;
             this.account = account;
             this.expires = expires;
+            this.history = history;
         }
     }
 
@@ -85,6 +87,7 @@
     private final ArrayDeque<RouterApi.Event> toRouter = new ArrayDeque<>();
     private final RouterApi.Actions actions = new RouterActions();
     private final Counters counters = new Counters();
+    private final HistoryLog historyLog = new HistoryLog();
     /** Null where changes of primaries are left to the router alone. */
     private final Handover handover;
 
@@ -118,7 +121,7 @@
         } else if (event instanceof BrokerEvent.Written e) {
             onWritten(e);
         } else if (event instanceof BrokerEvent.Left e) {
-            onLeft(e.ref());
+            onLeft(e);
         } else if (event instanceof BrokerEvent.DeadlineDue e) {
             onDeadline(e.ref());
         } else if (event instanceof BrokerEvent.RouterDue e) {
@@ -184,7 +187,7 @@
             return;
         }
         long wait = contract.deadlineCap() > 0 ? Math.min(call.patience(), contract.deadlineCap()) : call.patience();
-        Life life = new Life(call, account, now + wait);
+        Life life = new Life(call, account, now + wait, new RequestHistory(call, now));
         Handover.Admission admission = handover == null
                 ? Handover.Admission.PASS
                 : handover.admit(
@@ -269,6 +272,7 @@
         Life life = lives.get(e.ref());
         if (life != null && life.inFlight && e.attempt() == life.attempts - 1) {
             life.written = true;
+            life.history.written(now);
         }
     }
 
@@ -290,6 +294,7 @@
 
     private void end(Life life, BrokerEvent.Ended e) {
         life.inFlight = false;
+        life.history.ended(e.result(), now);
         if (life.mayHaveRunSince == RouterApi.NONE && !e.result().provesNotRun()) {
             life.mayHaveRunSince = life.sentAt;
         }
@@ -318,15 +323,16 @@
         forget(life);
     }
 
-    private void onLeft(long ref) {
-        Life life = lives.get(ref);
+    private void onLeft(BrokerEvent.Left e) {
+        Life life = lives.get(e.ref());
         if (life != null && !life.answered) {
-            counters.countLeft();
+            counters.count(e.cause());
+            life.history.left(e.cause(), now);
             settled(life);
             if (life.inFlight && !life.written) {
-                effects.add(new Effect.Recall(ref));
+                effects.add(new Effect.Recall(e.ref()));
             }
-            toRouter.add(new RouterApi.Gone(ref));
+            toRouter.add(new RouterApi.Gone(e.ref()));
             forget(life);
         }
     }
@@ -410,6 +416,7 @@
         life.written = false;
         life.server = server;
         life.sentAt = now;
+        life.history.sent(server, now);
         counters.countSent();
         effects.add(new Effect.Send(life.call.ref(), attempt, server, life.expires, beginBy));
     }
@@ -423,6 +430,7 @@
     private void answer(Life life, Reply reply) {
         if (!life.answered) {
             settled(life);
+            life.history.answered(reply, now);
             reply(life.call.ref(), reply);
         }
     }
@@ -443,8 +451,17 @@
 
     private void forget(Life life) {
         if (life.answered && !life.inFlight) {
-            lives.remove(life.call.ref());
-            ids.remove(life.call.id());
+            if (lives.remove(life.call.ref()) != null) {
+                ids.remove(life.call.id());
+                logHistory(life);
+            }
+        }
+    }
+
+    private void logHistory(Life life) {
+        String line = historyLog.lineFor(life.history, now);
+        if (line != null) {
+            effects.add(new Effect.Log(line));
         }
     }
 
--- a/src/main/java/crankwick/broker/BrokerEvent.java
+++ b/src/main/java/crankwick/broker/BrokerEvent.java
@@ -13,7 +13,7 @@
     record Taken(Call call) implements BrokerEvent {}
 
     /** The caller has gone; no answer is owed. */
-    record Left(long ref) implements BrokerEvent {}
+    record Left(long ref, LeaveCause cause) implements BrokerEvent {}
 
     /** The last byte of an attempt has been written. */
     record Written(long ref, int attempt) implements BrokerEvent {}
--- a/src/main/java/crankwick/broker/Counters.java
+++ b/src/main/java/crankwick/broker/Counters.java
@@ -10,7 +10,7 @@
     private long sent;
     private long probes;
     private long served;
-    private long left;
+    private final Map<LeaveCause, Long> left = new EnumMap<>(LeaveCause.class);
     private final Map<Reply.Reason, Long> refused = new EnumMap<>(Reply.Reason.class);
     private final Map<Reply.Reason, Long> failed = new EnumMap<>(Reply.Reason.class);
     private final Map<Result, Long> outcomes = new EnumMap<>(Result.class);
@@ -27,8 +27,8 @@
         probes++;
     }
 
-    void countLeft() {
-        left++;
+    void count(LeaveCause cause) {
+        left.merge(cause, 1L, Long::sum);
     }
 
     void count(Result result) {
--- a/src/main/java/crankwick/net/ClientFront.java
+++ b/src/main/java/crankwick/net/ClientFront.java
@@ -4,6 +4,7 @@
 import crankwick.RouterApi.RequestClass;
 import crankwick.broker.BrokerEvent;
 import crankwick.broker.Call;
+import crankwick.broker.LeaveCause;
 import crankwick.broker.Reply;
 import crankwick.statement.Statement;
 import java.io.IOException;
@@ -70,6 +71,7 @@
 
     private boolean full;
     private CodecFilter codec;
+    private final FrontCounters counters = new FrontCounters();
     private volatile TCPNIOServerConnection listener;
     private long lastRef;
     /** Sessions that are to be closed unless a command has just been read from them. */
@@ -154,6 +156,11 @@
         return (InetSocketAddress) listener.getLocalAddress();
     }
 
+    /** What has been counted of client connections, for a line in the log. */
+    public String counters() {
+        return counters.toString();
+    }
+
     ClientCommand command(long ref) {
         return open.get(ref);
     }
@@ -170,6 +177,7 @@
         session.idleSince = runner.clock().now();
         sessions.add(session);
         if (isOverCap() && !makeRoom(session)) {
+            counters.turnedAway.incrementAndGet();
             end(session, new FrontReply.Fatal(FrontReply.Cause.TOO_MANY, "too many connections"));
         }
     }
@@ -240,7 +248,7 @@
                 last(session, FrontReply.Cause.UNKNOWN_TEAM, "unknown team");
             }
         } else if (message instanceof FrontMessage.Attention) {
-            abandon(session);
+            abandon(session, LeaveCause.CANCELLED);
             add(session, message, number, null, new FrontReply.AttentionHeard());
         } else if (message instanceof FrontMessage.Broken m) {
             LOG.debug("client {}: {}", session.connection.getPeerAddress(), m.fault());
@@ -297,6 +305,7 @@
 
     /** The last words come in their place: what was taken before is answered first. */
     private void last(ClientSession session, FrontReply.Cause cause, String fault) {
+        counters.protocolErrors.incrementAndGet();
         session.ending = true;
         ClientCommand words = new ClientCommand(session, ++lastRef, null, 0, 0);
         words.reply = new FrontReply.Fatal(cause, fault);
@@ -305,13 +314,13 @@
     }
 
     /** The client is owed nothing of what it has asked so far. */
-    private void abandon(ClientSession session) {
+    private void abandon(ClientSession session, LeaveCause cause) {
         List<ClientCommand> left = new ArrayList<>(session.commands);
         session.commands.clear();
         for (ClientCommand command : left) {
             session.settled(command.bytes);
             if (open.remove(command.ref) != null) {
-                runner.tell(new BrokerEvent.Left(command.ref));
+                runner.tell(new BrokerEvent.Left(command.ref, cause));
             }
         }
     }
@@ -372,7 +381,10 @@
     private void onClosed(ClientSession session) {
         forgetCloseRequest(session);
         if (sessions.remove(session)) {
-            abandon(session);
+            if (!session.commands.isEmpty()) {
+                counters.closedWhileOwed.incrementAndGet();
+            }
+            abandon(session, LeaveCause.CLOSED);
         }
     }
 
@@ -414,7 +426,8 @@
         @Override
         public NextAction handleAccept(FilterChainContext context) {
             Connection<SocketAddress> connection = Transport.connection(context);
-            ClientSession session = new ClientSession(connection);
+            ClientSession session = new ClientSession(connection, counters);
+            counters.accepted.incrementAndGet();
             ofConnection.set(connection, session);
             hold(1);
             runner.loop().execute(() -> onAccepted(session));
--- a/src/main/java/crankwick/net/ClientSession.java
+++ b/src/main/java/crankwick/net/ClientSession.java
@@ -6,12 +6,19 @@
 import java.util.List;
 import org.glassfish.grizzly.Connection;
 import org.glassfish.grizzly.IOEvent;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /**
  * One client connection. Its plain fields belong to the loop; what the thread that reads from it shares with
  * the loop is reached through synchronized methods.
  */
 final class ClientSession {
+    private static final Logger LOG = LoggerFactory.getLogger(ClientSession.class);
+    private static final long NANOS_PER_MILLI = 1_000_000;
+    /** A pause that hides a client's close for longer than this is worth a line. */
+    private static final long LONG_PAUSE_MS = 50;
+
     /** Reading stops at so many commands that are not answered, or so many bytes of them. */
     private static final int MAX_UNANSWERED_COMMANDS = 1_024;
 
@@ -38,6 +45,8 @@
     private int unanswered;
     private int unansweredBytes;
     private boolean paused;
+    private long pausedAtNanos;
+    private final FrontCounters counters;
     private boolean readingStopped;
     private int unwritten;
     private long unwrittenSince;
@@ -47,8 +56,9 @@
 
     private boolean closed;
 
-    ClientSession(Connection<SocketAddress> connection) {
+    ClientSession(Connection<SocketAddress> connection, FrontCounters counters) {
         this.connection = connection;
+        this.counters = counters;
     }
 
     /** Messages have been read: with too much unanswered, no more is. On the thread that reads. */
@@ -63,6 +73,7 @@
         unanswered += messages.size();
         if (!paused && (unanswered >= MAX_UNANSWERED_COMMANDS || unansweredBytes >= MAX_UNANSWERED_BYTES)) {
             paused = true;
+            pausedAtNanos = System.nanoTime();
             toggleReading(false);
         }
     }
@@ -79,10 +90,19 @@
         boolean little = unanswered <= MAX_UNANSWERED_COMMANDS / 2 && unansweredBytes <= MAX_UNANSWERED_BYTES / 2;
         if (paused && little) {
             paused = false;
+            noteResumed();
             toggleReading(!readingStopped);
         }
     }
 
+    private void noteResumed() {
+        long millis = (System.nanoTime() - pausedAtNanos) / NANOS_PER_MILLI;
+        counters.countReadPause(millis);
+        if (millis > LONG_PAUSE_MS) {
+            LOG.info("client {}: reading was paused for {} ms", connection.getPeerAddress(), millis);
+        }
+    }
+
     /** Reads nothing more; what has been read is answered. */
     synchronized void stopReading() {
         readingStopped = true;
--- a/src/main/java/crankwick/net/DatabasePool.java
+++ b/src/main/java/crankwick/net/DatabasePool.java
@@ -65,8 +65,8 @@
             this.command = command;
         }
 
-        /** False once nobody wants the command any more; asked where it would be written, on that thread. */
-        abstract boolean mayBegin();
+        /** Asked where the first byte would be written, on that thread. */
+        abstract BeginDecision mayBegin();
 
         abstract void written();
 
@@ -104,8 +104,11 @@
         }
 
         @Override
-        boolean mayBegin() {
-            return !asked.isAbandoned() && runner.clock().now() < beginBy;
+        BeginDecision mayBegin() {
+            if (runner.clock().now() >= beginBy) {
+                return BeginDecision.TOO_LATE;
+            }
+            return asked.isAbandoned() ? BeginDecision.CLIENT_GONE : BeginDecision.BEGIN;
         }
 
         @Override
@@ -140,8 +143,8 @@
         }
 
         @Override
-        boolean mayBegin() {
-            return true;
+        BeginDecision mayBegin() {
+            return BeginDecision.BEGIN;
         }
 
         @Override
@@ -180,6 +183,7 @@
             this.job = job;
             connectTimer = runner.loop().after(connectTimeout, () -> {
                 if (!greeted) {
+                    counters.notUpInTime.incrementAndGet();
                     LOG.info("{}: {} in time", server, connection == null ? "no connection" : "no greeting");
                     discard(Result.UNREACHABLE);
                 }
@@ -232,7 +236,11 @@
             Transport.whereItReads(connection, () -> {
                 if (!Transport.isQuiet(connection)) {
                     runner.loop().execute(this::onClosed);
-                } else if (!next.mayBegin()) {
+                    return;
+                }
+                BeginDecision decision = next.mayBegin();
+                if (decision != BeginDecision.BEGIN) {
+                    counters.countWithheld(decision);
                     runner.loop().execute(() -> recallIfStill(next));
                 } else if (claim.compareAndSet(false, true)) {
                     DatabaseCommand command = next.command.get();
@@ -315,6 +323,7 @@
             }
             job = null;
             unbegun.link = null;
+            counters.moved.incrementAndGet();
             discard(Result.RESET);
             begin(unbegun);
             return true;
@@ -384,6 +393,7 @@
     private final Map<Connection<SocketAddress>, Link> byConnection = new HashMap<>();
     private final Map<Long, Attempt> attempts = new HashMap<>();
     private int links;
+    private final PoolCounters counters = new PoolCounters();
 
     /** Databases end connections idle for {@code idleLimit}; at most {@code maxLinks} are held. */
     public DatabasePool(
@@ -404,6 +414,11 @@
         runner.loop().after(STALL_CHECK, this::endStalled);
     }
 
+    /** What has been counted of connections to databases, for a line in the log. */
+    public String counters() {
+        return counters.toString();
+    }
+
     /** Takes the addresses in; what was connected to an earlier process or is to go is not used again. */
     void learn(Discovery.News news) {
         long now = runner.clock().now();
@@ -468,6 +483,7 @@
             job.end(Result.NOT_SENT, null);
         } else {
             links++;
+            counters.opened.incrementAndGet();
             Link opened = new Link(job.server, job);
             job.link = opened;
             opened.connecting = transport.connect(host.address(), opened, chain);
--- /dev/null
+++ b/src/main/java/crankwick/net/FrontCounters.java
@@ -0,0 +1,31 @@
+package crankwick.net;
+
+import java.util.concurrent.atomic.AtomicLong;
+
+/** What a front has counted of its client connections since its start; safe on any thread. */
+final class FrontCounters {
+    final AtomicLong accepted = new AtomicLong();
+    /** Told that there are too many connections. */
+    final AtomicLong turnedAway = new AtomicLong();
+    /** Connections that ended with commands not answered. */
+    final AtomicLong closedWhileOwed = new AtomicLong();
+
+    final AtomicLong protocolErrors = new AtomicLong();
+    /** How often reading from a client was paused, and for how long at most. */
+    final AtomicLong readPauses = new AtomicLong();
+
+    final AtomicLong longestReadPauseMs = new AtomicLong();
+
+    void countReadPause(long millis) {
+        readPauses.incrementAndGet();
+        longestReadPauseMs.accumulateAndGet(millis, Math::max);
+    }
+
+    /** For the line of counters. */
+    @Override
+    public String toString() {
+        return "accepted=" + accepted + " turned_away=" + turnedAway + " closed_while_owed=" + closedWhileOwed
+                + " protocol_errors=" + protocolErrors + " read_pauses=" + readPauses + " longest_read_pause_ms="
+                + longestReadPauseMs;
+    }
+}
--- a/src/test/java/crankwick/broker/BrokerChangesTest.java
+++ b/src/test/java/crankwick/broker/BrokerChangesTest.java
@@ -192,7 +192,7 @@
         advance(MS);
         tell(new BrokerEvent.Written(first, 0));
         advance(2_500 * MS);
-        tell(new BrokerEvent.Left(first));
+        tell(new BrokerEvent.Left(first, LeaveCause.CLOSED));
         long retry = write("k", 3_000 * MS);
         assertEquals(answer(retry), Reply.Reason.KEY_IN_DOUBT, "the window began with the first sending");
         assertEquals(sent(retry), 0);
@@ -209,7 +209,7 @@
         long first = write("k", 3_000 * MS);
         tell(new BrokerEvent.Written(first, 0));
         advance(100 * MS);
-        tell(new BrokerEvent.Left(first));
+        tell(new BrokerEvent.Left(first, LeaveCause.CLOSED));
         loseA();
         long hopeless = write("k", 1_000 * MS);
         assertEquals(answer(hopeless), Reply.Reason.KEY_IN_DOUBT);
@@ -223,7 +223,7 @@
         long first = write("k", 3_000 * MS);
         tell(new BrokerEvent.Written(first, 0));
         advance(50 * MS);
-        tell(new BrokerEvent.Left(first));
+        tell(new BrokerEvent.Left(first, LeaveCause.CLOSED));
         long retry = write("k", 200 * MS);
         ends(retry, Result.FULL, Role.UNKNOWN);
         for (int i = 0; i < 8 && !answers.containsKey(retry); i++) {
@@ -274,7 +274,7 @@
         int before = broker.handover().held();
         long held = write("k", 3_000 * MS);
         assertEquals(broker.handover().held(), before + 1);
-        tell(new BrokerEvent.Left(held));
+        tell(new BrokerEvent.Left(held, LeaveCause.CLOSED));
         assertEquals(broker.handover().held(), before);
         assertNull(answers.get(held));
     }
