--- /dev/null
+++ b/src/test/java/crankwick/app/LeaveIT.java
@@ -0,0 +1,119 @@
+package crankwick.app;
+
+import static org.testng.Assert.assertEquals;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/**
+ * Clients that leave in the middle of a request, whatever they have sent before or behind it: no attempt begins
+ * once they have gone. The program runs as a process; databases break the connection under each attempt, so that
+ * it would be sent again.
+ */
+public class LeaveIT extends OnBothWires {
+    private static final int LARGE = 80_000;
+    private static final int MEDIUM = 40_000;
+    private static final int MANY = 1_100;
+    private static final int ATTEMPT_MS = 300;
+    private static final int LEAVES_AFTER_MS = 100;
+    private static final int WATCHED_MS = 800;
+
+    /** What a client has sent when it leaves: one keyed write first, then what this names. */
+    private enum Sent {
+        SMALL_WRITE,
+        LARGE_WRITE,
+        MANY_COMMANDS_BEHIND,
+        MEDIUM_COMMANDS_BEHIND
+    }
+
+    /** How a client leaves. */
+    private enum Way {
+        CLOSE,
+        RESET,
+        CANCEL
+    }
+
+    /** Both wires, each with all that can be sent and all ways to leave; PostgreSQL's clients have no cancel. */
+    @DataProvider
+    public Object[][] leavers() {
+        List<Object[]> all = new ArrayList<>();
+        for (Object[] wire : wires()) {
+            for (Sent sent : Sent.values()) {
+                for (Way way : Way.values()) {
+                    if (way != Way.CANCEL || wire[0] instanceof TdsWire) {
+                        all.add(new Object[] {wire[0], sent, way});
+                    }
+                }
+            }
+        }
+        return all.toArray(Object[][]::new);
+    }
+
+    /** A deployment for each, as failures count against a database and would keep others from being sent again. */
+    @Test(dataProvider = "leavers")
+    public void nothingIsSentAgainForAClientThatHasGone(Wire wire, Sent sent, Way way) throws Exception {
+        try (Deployment d = new Deployment(wire);
+                Deployment.Client leaver = d.client()) {
+            d.databases.forEach(database -> database.delayMs = ATTEMPT_MS);
+            d.databases.forEach(database -> database.word = "BREAK");
+            String write = send(leaver, sent);
+            Thread.sleep(LEAVES_AFTER_MS);
+            leave(wire, leaver, way);
+            Thread.sleep(WATCHED_MS);
+            assertEquals(d.ledger.sent(write), 1, d.log.toString());
+            kept(d);
+        }
+    }
+
+    /** Sends the write and what goes with it; the write's id. */
+    private String send(Deployment.Client client, Sent sent) throws IOException {
+        String padding = sent == Sent.LARGE_WRITE ? "x".repeat(LARGE) : "";
+        client.send(statement("reserve", 3_000, "") + padding);
+        String write = id();
+        if (sent == Sent.MANY_COMMANDS_BEHIND) {
+            for (int i = 0; i < MANY; i++) {
+                client.send("SELECT 1");
+            }
+        } else if (sent == Sent.MEDIUM_COMMANDS_BEHIND) {
+            for (int i = 0; i < 3; i++) {
+                client.send(statement("map-view", 3_000, "") + "x".repeat(MEDIUM));
+            }
+        }
+        return write;
+    }
+
+    private static void leave(Wire wire, Deployment.Client client, Way way) throws IOException {
+        switch (way) {
+            case CANCEL -> ((TdsWire) wire).attention(client.socket);
+            case RESET -> {
+                client.socket.setSoLinger(true, 0);
+                client.close();
+            }
+            default -> client.close();
+        }
+    }
+
+    /**
+     * Guards against taking for a stalled client one that is not read from: behind a large command comes half of
+     * another one, and its other half while the first is still out.
+     */
+    @Test(dataProvider = "wires")
+    public void halfACommandBehindALargeOneIsNoStall(Wire wire) throws Exception {
+        try (Deployment d = new Deployment(wire);
+                Deployment.Client client = d.client()) {
+            d.databases.forEach(database -> database.delayMs = 2_800);
+            client.send(statement("reserve", 5_000, "") + "x".repeat(LARGE));
+            String first = id();
+            byte[] second = wire.command(statement("map-view", 5_000, ""), 0);
+            client.socket.getOutputStream().write(second, 0, second.length - 7);
+            Thread.sleep(1_000);
+            client.socket.getOutputStream().write(second, second.length - 7, 7);
+            assertEquals(client.answer().value(), "s-a:" + first);
+            assertEquals(client.answer().kind(), "SERVED");
+            kept(d);
+        }
+    }
+}
