Reading from a client never waits for databases: its close and cancel are always seen

ClientSession.read switched reading off at 64 KiB or 1,024 commands unanswered. Flow control and the news that a client closes or cancels share that one switch, so a single large write hid its client's close until it was answered, and Job.mayBegin asked a flag that nobody could set. The class: a conclusion about a peer drawn while not listening to it. Reading goes on whatever is open. Up to 1,024 commands and 1 MiB of a client, a quarter of the heap of all, are kept; what comes beyond is refused in its place without its text, in a row with one place (OVER_OPEN_COMMANDS, 53300 or 50106). Only while the loop has 4,096 messages to take up does reading pause. Answers go out 256 KiB ahead of the client at most, and wait in their places else (AnswerWriter). A command read over 10 ms ago is begun behind a turn of the selector, so that a close that has arrived is read first; between that look and the write no clock is read. Same mistake: 'a command without its end' was told to a client that was not read from; it went with the pauses.

--- a/src/main/java/crankwick/app/Service.java
+++ b/src/main/java/crankwick/app/Service.java
@@ -76,9 +76,8 @@
         loop = new EventLoop("loop-" + wire.name());
         broker = new Broker(settings.settings, seed, contracts, changes);
         runner = new EffectRunner(broker, loop, clock);
-        front = new ClientFront(
-                runner, settings.settings.classes(), settings.classNames(), contracts::containsKey, (int)
-                        (sockets * CLIENT_SHARE));
+        front = new ClientFront(runner, settings.settings, settings.classNames(), contracts::containsKey, (int)
+                (sockets * CLIENT_SHARE));
     }
 
     /** Listens, and is ready once a list that names a database is known. */
--- /dev/null
+++ b/src/main/java/crankwick/net/AnswerWriter.java
@@ -0,0 +1,94 @@
+package crankwick.net;
+
+import crankwick.broker.Reply;
+import java.net.SocketAddress;
+import java.util.function.Consumer;
+import org.glassfish.grizzly.EmptyCompletionHandler;
+import org.glassfish.grizzly.WriteResult;
+
+/**
+ * Writes the answers of client connections, in the order of their commands and only so many bytes ahead of
+ * what the clients take. Lives on the loop.
+ */
+final class AnswerWriter {
+    /** What an answer takes besides its value, at most. */
+    private static final int OVERHEAD_BYTES = 256;
+
+    private final EventLoop loop;
+    private final Clock clock;
+    private final long linger;
+    private final Consumer<ClientSession> whenRoom;
+
+    /** After its last words a client has {@code linger}; {@code whenRoom} is told on the loop who may go on. */
+    AnswerWriter(EventLoop loop, Clock clock, long linger, Consumer<ClientSession> whenRoom) {
+        this.loop = loop;
+        this.clock = clock;
+        this.linger = linger;
+        this.whenRoom = whenRoom;
+    }
+
+    /** Writes what is ready; where that is too much for now, {@code whenRoom} is told later. */
+    void writeReady(ClientSession session) {
+        while (!session.commands.isEmpty()
+                && session.commands.peek().reply != null
+                && session.cutAt == 0
+                && session.mayWrite()) {
+            ClientCommand command = session.commands.peek();
+            if (--command.times == 0) {
+                session.commands.poll();
+            }
+            session.idleSince = clock.now();
+            if (command.reply instanceof FrontReply.Fatal) {
+                end(session, command.reply);
+            } else {
+                write(session, command);
+            }
+        }
+    }
+
+    /** Says the last words and ends the sending; then the client has some time to take them and to close. */
+    void end(ClientSession session, FrontReply words) {
+        session.ending = true;
+        session.cutAt = clock.now() + linger;
+        session.connection.write(words, new EmptyCompletionHandler<WriteResult<FrontReply, SocketAddress>>() {
+            @Override
+            public void completed(WriteResult<FrontReply, SocketAddress> result) {
+                Transport.endSending(session.connection);
+            }
+
+            @Override
+            public void failed(Throwable fault) {
+                session.connection.terminateSilently();
+            }
+        });
+    }
+
+    private void write(ClientSession session, ClientCommand command) {
+        long bytes = OVERHEAD_BYTES + valueBytes(command.reply);
+        session.writing(bytes, clock.now());
+        var whenWritten = new EmptyCompletionHandler<WriteResult<FrontReply, SocketAddress>>() {
+            @Override
+            public void completed(WriteResult<FrontReply, SocketAddress> result) {
+                boolean room = session.written(bytes, clock.now());
+                session.settled(command.message, 1);
+                if (room) {
+                    loop.execute(() -> whenRoom.accept(session));
+                }
+            }
+
+            @Override
+            public void failed(Throwable fault) {
+                // Guards against a client that does not read: its unwritten answers must not pile up.
+                session.connection.terminateSilently();
+            }
+        };
+        session.connection.write(command.reply, whenWritten);
+    }
+
+    private static long valueBytes(FrontReply reply) {
+        boolean hasValue = reply instanceof FrontReply.Final f
+                && f.reply() instanceof Reply.Served served
+                && served.value() != null;
+        return hasValue ? ((Reply.Served) ((FrontReply.Final) reply).reply()).value().length : 0;
+    }
+}
--- a/src/main/java/crankwick/net/ClientCommand.java
+++ b/src/main/java/crankwick/net/ClientCommand.java
@@ -12,19 +12,25 @@
     final long ref;
     /** Null where the command is no request. */
     final Statement statement;
+    /** What the client sent; null for what the front itself has to say. */
+    final FrontMessage message;
+    /** When it was read, in microseconds of Unix time. */
+    final long readAt;
     /** The answer; null until there is one. */
     FrontReply reply;
+    /** How many commands in a row have this place and each this answer. */
+    long times = 1;
     /** Which message of its connection it was, counted from 1; 0 for what the front itself has to say. */
     private final long number;
-    /** How many bytes of it are kept until it is answered. */
-    final int bytes;
 
-    ClientCommand(ClientSession session, long ref, Statement statement, long number, int bytes) {
+    ClientCommand(
+            ClientSession session, long ref, Statement statement, FrontMessage message, long number, long readAt) {
         this.session = session;
         this.ref = ref;
         this.statement = statement;
+        this.message = message;
         this.number = number;
-        this.bytes = bytes;
+        this.readAt = readAt;
     }
 
     /** True once the client has closed its connection or cancelled the command; on any thread. */
--- a/src/main/java/crankwick/net/ClientFront.java
+++ b/src/main/java/crankwick/net/ClientFront.java
@@ -2,6 +2,7 @@
 
 import crankwick.RouterApi.Repeat;
 import crankwick.RouterApi.RequestClass;
+import crankwick.RouterApi.Settings;
 import crankwick.broker.BrokerEvent;
 import crankwick.broker.Call;
 import crankwick.broker.LeaveCause;
@@ -18,10 +19,8 @@
 import java.util.Set;
 import java.util.function.Predicate;
 import org.glassfish.grizzly.Connection;
-import org.glassfish.grizzly.EmptyCompletionHandler;
 import org.glassfish.grizzly.Grizzly;
 import org.glassfish.grizzly.IOEvent;
-import org.glassfish.grizzly.WriteResult;
 import org.glassfish.grizzly.attributes.Attribute;
 import org.glassfish.grizzly.filterchain.BaseFilter;
 import org.glassfish.grizzly.filterchain.FilterChainContext;
@@ -34,8 +33,8 @@
  * A front: owns the client connections of one wire. On each connection the answers keep the order of the
  * commands, each a {@link ClientCommand}; what is ready behind one that is not answered waits.
  *
- * <p>What a client may hold is bounded: reading stops while too much is not answered, who does not ask, go on
- * or read in time is let go, and at the cap those make room who need it least. A command that has been read
+ * <p>What a client may hold is bounded: what it sends beyond that is refused in its place, who does not ask, go
+ * on or read in time is let go, and at the cap those make room who need it least. A command that has been read
  * is never closed upon: connections end on the thread that reads from them.
  */
 public final class ClientFront {
@@ -57,6 +56,11 @@
     /** Connections over the cap until the loop has let others go; with more, no further one is accepted. */
     private static final int SPARE = 16;
 
+    /** What clients have open may take so much of the heap. */
+    private static final long MAX_STATEMENT_BYTES = Runtime.getRuntime().maxMemory() / 4;
+    /** When a command beyond what a client may have open may come again, in microseconds. */
+    private static final long EXCESS_RETRY_AFTER = 100_000;
+
     private final EffectRunner runner;
     private final List<RequestClass> classes;
     private final Map<String, Integer> classNames = new HashMap<>();
@@ -72,6 +76,9 @@
     private boolean full;
     private CodecFilter codec;
     private final FrontCounters counters = new FrontCounters();
+    private final StatementBudget budget = new StatementBudget(MAX_STATEMENT_BYTES);
+    private final AnswerWriter answers;
+    private final Reply excessReply;
     private volatile TCPNIOServerConnection listener;
     private long lastRef;
     /** Sessions that are to be closed unless a command has just been read from them. */
@@ -82,15 +89,15 @@
     /** By then all has to be answered: a request that still comes in may want more time than is left. */
     private long answerBy = Long.MAX_VALUE;
 
-    /** {@code teams} says which logins are known. */
+    /** {@code names} are those of the settings' classes; {@code teams} says which logins are known. */
     public ClientFront(
-            EffectRunner runner,
-            List<RequestClass> classes,
-            List<String> names,
-            Predicate<String> teams,
-            int maxSessions) {
+            EffectRunner runner, Settings settings, List<String> names, Predicate<String> teams, int maxSessions) {
         this.runner = runner;
-        this.classes = classes;
+        this.classes = settings.classes();
+        answers = new AnswerWriter(runner.loop(), runner.clock(), LINGER, this::flush);
+        long retryAfter = Math.min(EXCESS_RETRY_AFTER, settings.limits().maxRetryAfter());
+        excessReply = new Reply.Refused(
+                Reply.Reason.OVER_OPEN_COMMANDS, settings.limits().retryAfter() ? retryAfter : 0);
         this.teams = teams;
         this.maxSessions = maxSessions;
         for (int i = 0; i < names.size(); i++) {
@@ -158,7 +165,7 @@
 
     /** What has been counted of client connections, for a line in the log. */
     public String counters() {
-        return counters.toString();
+        return counters + " open_bytes=" + budget.reserved();
     }
 
     ClientCommand command(long ref) {
@@ -178,7 +185,7 @@
         sessions.add(session);
         if (isOverCap() && !makeRoom(session)) {
             counters.turnedAway.incrementAndGet();
-            end(session, new FrontReply.Fatal(FrontReply.Cause.TOO_MANY, "too many connections"));
+            answers.end(session, new FrontReply.Fatal(FrontReply.Cause.TOO_MANY, "too many connections"));
         }
     }
 
@@ -233,29 +240,31 @@
     private void onMessage(ClientSession session, FrontMessage message, long readAt) {
         long number = session.nextMessage();
         if (session.ending || !sessions.contains(session)) {
-            session.settled(message.bytes());
+            session.settled(message, 1);
         } else if (message instanceof FrontMessage.Query m) {
             session.asked = true;
             onQuery(session, m, number, readAt);
         } else if (message instanceof FrontMessage.Empty) {
             session.asked = true;
-            add(session, message, number, null, ready ? new FrontReply.Nothing() : null);
+            add(session, message, number, readAt, null, ready ? new FrontReply.Nothing() : null);
+        } else if (message instanceof FrontMessage.Excess) {
+            refuseExcess(session, message, number, readAt);
         } else if (message instanceof FrontMessage.Login m) {
             if (teams.test(m.team())) {
                 session.team = m.team();
-                add(session, message, number, null, new FrontReply.Welcome());
+                add(session, message, number, readAt, null, new FrontReply.Welcome());
             } else {
                 last(session, FrontReply.Cause.UNKNOWN_TEAM, "unknown team");
             }
         } else if (message instanceof FrontMessage.Attention) {
             abandon(session, LeaveCause.CANCELLED);
-            add(session, message, number, null, new FrontReply.AttentionHeard());
+            add(session, message, number, readAt, null, new FrontReply.AttentionHeard());
         } else if (message instanceof FrontMessage.Broken m) {
             LOG.debug("client {}: {}", session.connection.getPeerAddress(), m.fault());
             last(session, FrontReply.Cause.BROKEN, m.fault());
         } else {
             session.ending = true;
-            session.settled(message.bytes());
+            session.settled(message, 1);
             flush(session);
         }
     }
@@ -270,7 +279,7 @@
             if (classes.get(cls).repeat() == Repeat.KEYED && statement.key() == null) {
                 throw new IllegalArgumentException("k is missing");
             }
-            ClientCommand command = add(session, query, number, statement, null);
+            ClientCommand command = add(session, query, number, readAt, statement, null);
             // The client has been waiting since its command was read; the loop may have been late since.
             long now = runner.clock().now();
             long left = Math.min(readAt + statement.waitMs() * 1_000, answerBy) - now;
@@ -287,13 +296,29 @@
                     statement.key(),
                     query.bytes())));
         } catch (IllegalArgumentException e) {
-            add(session, query, number, null, new FrontReply.Unreadable(e.getMessage()));
+            add(session, query, number, readAt, null, new FrontReply.Unreadable(e.getMessage()));
+        }
+    }
+
+    /** What comes in a row beyond the limits shares one place, so that what is kept of it stays bounded. */
+    private void refuseExcess(ClientSession session, FrontMessage message, long number, long readAt) {
+        ClientCommand last = session.commands.peekLast();
+        if (last != null && last.message instanceof FrontMessage.Excess) {
+            last.times++;
+            flush(session);
+        } else {
+            add(session, message, number, readAt, null, new FrontReply.Final(excessReply));
         }
     }
 
     private ClientCommand add(
-            ClientSession session, FrontMessage message, long number, Statement statement, FrontReply reply) {
-        ClientCommand command = new ClientCommand(session, ++lastRef, statement, number, message.bytes());
+            ClientSession session,
+            FrontMessage message,
+            long number,
+            long readAt,
+            Statement statement,
+            FrontReply reply) {
+        ClientCommand command = new ClientCommand(session, ++lastRef, statement, message, number, readAt);
         command.reply = reply;
         session.commands.add(command);
         if (statement != null) {
@@ -307,7 +332,7 @@
     private void last(ClientSession session, FrontReply.Cause cause, String fault) {
         counters.protocolErrors.incrementAndGet();
         session.ending = true;
-        ClientCommand words = new ClientCommand(session, ++lastRef, null, 0, 0);
+        ClientCommand words = new ClientCommand(session, ++lastRef, null, null, 0, 0);
         words.reply = new FrontReply.Fatal(cause, fault);
         session.commands.add(words);
         flush(session);
@@ -318,7 +343,7 @@
         List<ClientCommand> left = new ArrayList<>(session.commands);
         session.commands.clear();
         for (ClientCommand command : left) {
-            session.settled(command.bytes);
+            session.settled(command.message, command.times);
             if (open.remove(command.ref) != null) {
                 runner.tell(new BrokerEvent.Left(command.ref, cause));
             }
@@ -326,15 +351,7 @@
     }
 
     private void flush(ClientSession session) {
-        while (!session.commands.isEmpty() && session.commands.peek().reply != null) {
-            ClientCommand command = session.commands.poll();
-            session.idleSince = runner.clock().now();
-            if (command.reply instanceof FrontReply.Fatal) {
-                end(session, command.reply);
-            } else {
-                write(session, command);
-            }
-        }
+        answers.writeReady(session);
         if (session.ending && session.isIdle()) {
             session.cutAt = runner.clock().now() + LINGER;
             session.connection.closeSilently();
@@ -343,41 +360,6 @@
         }
     }
 
-    private void write(ClientSession session, ClientCommand command) {
-        session.writing(runner.clock().now());
-        var whenWritten = new EmptyCompletionHandler<WriteResult<FrontReply, SocketAddress>>() {
-            @Override
-            public void completed(WriteResult<FrontReply, SocketAddress> result) {
-                session.written(runner.clock().now());
-                session.settled(command.bytes);
-            }
-
-            @Override
-            public void failed(Throwable fault) {
-                // Guards against a client that does not read: its unwritten answers must not pile up.
-                session.connection.terminateSilently();
-            }
-        };
-        session.connection.write(command.reply, whenWritten);
-    }
-
-    /** Says the last words and ends the sending; then the client has some time to take them and to close. */
-    private void end(ClientSession session, FrontReply words) {
-        session.ending = true;
-        session.cutAt = runner.clock().now() + LINGER;
-        session.connection.write(words, new EmptyCompletionHandler<WriteResult<FrontReply, SocketAddress>>() {
-            @Override
-            public void completed(WriteResult<FrontReply, SocketAddress> result) {
-                Transport.endSending(session.connection);
-            }
-
-            @Override
-            public void failed(Throwable fault) {
-                session.connection.terminateSilently();
-            }
-        });
-    }
-
     private void onClosed(ClientSession session) {
         forgetCloseRequest(session);
         if (sessions.remove(session)) {
@@ -426,7 +408,7 @@
         @Override
         public NextAction handleAccept(FilterChainContext context) {
             Connection<SocketAddress> connection = Transport.connection(context);
-            ClientSession session = new ClientSession(connection, counters);
+            ClientSession session = new ClientSession(connection, budget, counters);
             counters.accepted.incrementAndGet();
             ofConnection.set(connection, session);
             hold(1);
@@ -439,8 +421,8 @@
             ClientSession session = ofConnection.peek(Transport.connection(context));
             List<FrontMessage> messages = context.getMessage();
             long readAt = runner.clock().now();
-            session.read(messages);
-            runner.loop().execute(() -> messages.forEach(message -> onMessage(session, message, readAt)));
+            List<FrontMessage> admitted = session.read(messages);
+            runner.loop().execute(() -> admitted.forEach(message -> onMessage(session, message, readAt)));
             return context.getStopAction();
         }
 
--- a/src/main/java/crankwick/net/ClientSession.java
+++ b/src/main/java/crankwick/net/ClientSession.java
@@ -2,6 +2,7 @@
 
 import java.net.SocketAddress;
 import java.util.ArrayDeque;
+import java.util.ArrayList;
 import java.util.Deque;
 import java.util.List;
 import org.glassfish.grizzly.Connection;
@@ -12,6 +13,9 @@
 /**
  * One client connection. Its plain fields belong to the loop; what the thread that reads from it shares with
  * the loop is reached through synchronized methods.
+ *
+ * <p>However much a client has open, reading from it goes on: only reading tells that it has closed or
+ * cancelled. What it sends beyond the limits is taken in as {@link FrontMessage.Excess}, without its text.
  */
 final class ClientSession {
     private static final Logger LOG = LoggerFactory.getLogger(ClientSession.class);
@@ -19,10 +23,14 @@
     /** A pause that hides a client's close for longer than this is worth a line. */
     private static final long LONG_PAUSE_MS = 50;
 
-    /** Reading stops at so many commands that are not answered, or so many bytes of them. */
-    private static final int MAX_UNANSWERED_COMMANDS = 1_024;
+    /** What a client may have open: so many commands, and so many bytes of their statements. */
+    private static final int MAX_OPEN_COMMANDS = 1_024;
 
-    private static final int MAX_UNANSWERED_BYTES = 64 * 1_024;
+    private static final long MAX_OPEN_BYTES = 1 << 20;
+    /** Reading pauses, until the loop has caught up, at so many messages that it has not taken up. */
+    private static final int MAX_UNTAKEN_MESSAGES = 4_096;
+    /** Answers wait in their places while so many bytes of earlier ones are not written. */
+    private static final long MAX_UNWRITTEN_BYTES = 256 * 1_024;
 
     final Connection<SocketAddress> connection;
     /** Commands in the order in which their answers go out. */
@@ -42,57 +50,98 @@
 
     private long messagesTaken;
 
-    private int unanswered;
-    private int unansweredBytes;
+    private final StatementBudget budget;
+    private final FrontCounters counters;
+    /** Messages that are not answered yet, and those of them that are kept with their text. */
+    private long unanswered;
+
+    private int open;
+    private long openBytes;
+    private int untaken;
     private boolean paused;
     private long pausedAtNanos;
-    private final FrontCounters counters;
     private boolean readingStopped;
     private int unwritten;
+    private long unwrittenBytes;
     private long unwrittenSince;
+    /** Answers that are ready wait for room. */
+    private boolean writesWait;
+
     private long messagesRead;
     /** Messages up to this one are cancelled. */
     private long cancelledTo;
 
     private boolean closed;
 
-    ClientSession(Connection<SocketAddress> connection, FrontCounters counters) {
+    ClientSession(Connection<SocketAddress> connection, StatementBudget budget, FrontCounters counters) {
         this.connection = connection;
+        this.budget = budget;
         this.counters = counters;
     }
 
-    /** Messages have been read: with too much unanswered, no more is. On the thread that reads. */
-    synchronized void read(List<FrontMessage> messages) {
+    /**
+     * Messages have been read; they are returned as they are to be handed to the loop, those beyond the limits
+     * without their text. On the thread that reads.
+     */
+    synchronized List<FrontMessage> read(List<FrontMessage> messages) {
+        List<FrontMessage> admitted = new ArrayList<>(messages.size());
         for (FrontMessage message : messages) {
             messagesRead++;
-            unansweredBytes += message.bytes();
             if (message instanceof FrontMessage.Attention) {
                 cancelledTo = messagesRead;
             }
+            admitted.add(admit(message));
         }
         unanswered += messages.size();
-        if (!paused && (unanswered >= MAX_UNANSWERED_COMMANDS || unansweredBytes >= MAX_UNANSWERED_BYTES)) {
+        untaken += messages.size();
+        if (!paused && untaken >= MAX_UNTAKEN_MESSAGES) {
             paused = true;
             pausedAtNanos = System.nanoTime();
             toggleReading(false);
         }
+        return admitted;
     }
 
-    /** The number of the message that the loop takes up next. */
-    long nextMessage() {
-        return ++messagesTaken;
+    private FrontMessage admit(FrontMessage message) {
+        if (!(message instanceof FrontMessage.Query || message instanceof FrontMessage.Empty)) {
+            return message;
+        }
+        int bytes = message.bytes();
+        boolean fits = open < MAX_OPEN_COMMANDS && openBytes + bytes <= MAX_OPEN_BYTES && budget.reserve(bytes);
+        if (!fits) {
+            counters.excessCommands.incrementAndGet();
+            return new FrontMessage.Excess();
+        }
+        open++;
+        openBytes += bytes;
+        return message;
     }
 
-    /** A command's answer is written, or none is owed. */
-    synchronized void settled(int bytes) {
-        unanswered--;
-        unansweredBytes -= bytes;
-        boolean little = unanswered <= MAX_UNANSWERED_COMMANDS / 2 && unansweredBytes <= MAX_UNANSWERED_BYTES / 2;
-        if (paused && little) {
+    /** The loop takes a message up: its number. */
+    synchronized long nextMessage() {
+        untaken--;
+        if (paused && untaken <= MAX_UNTAKEN_MESSAGES / 2) {
             paused = false;
             noteResumed();
             toggleReading(!readingStopped);
         }
+        return ++messagesTaken;
+    }
+
+    /** So many messages in a row like this one have their answers written, or none is owed. */
+    synchronized void settled(FrontMessage message, long times) {
+        unanswered -= times;
+        if (message instanceof FrontMessage.Query || message instanceof FrontMessage.Empty) {
+            open--;
+            release(message.bytes());
+        }
+    }
+
+    private void release(long bytes) {
+        // Guards against giving back twice what the end of the connection has given back.
+        long held = Math.min(bytes, openBytes);
+        openBytes -= held;
+        budget.release(held);
     }
 
     private void noteResumed() {
@@ -113,9 +162,10 @@
         Transport.toggle(connection, IOEvent.READ, wanted);
     }
 
-    /** The client has closed its connection. On the thread that reads. */
+    /** The client has closed its connection, or it has been ended. On the thread that reads. */
     synchronized void closed() {
         closed = true;
+        release(openBytes);
     }
 
     synchronized boolean isAbandoned(long message) {
@@ -145,13 +195,25 @@
         return readingStopped;
     }
 
-    synchronized void writing(long now) {
+    /** True if another answer may be written now; else {@link #written} tells when there is room. */
+    synchronized boolean mayWrite() {
+        writesWait = unwrittenBytes >= MAX_UNWRITTEN_BYTES;
+        return !writesWait;
+    }
+
+    synchronized void writing(long bytes, long now) {
         unwrittenSince = unwritten++ == 0 ? now : unwrittenSince;
+        unwrittenBytes += bytes;
     }
 
-    synchronized void written(long now) {
+    /** An answer has been written; true if others have been waiting and now have room. */
+    synchronized boolean written(long bytes, long now) {
         unwritten--;
+        unwrittenBytes -= bytes;
         unwrittenSince = now;
+        boolean room = writesWait && unwrittenBytes <= MAX_UNWRITTEN_BYTES / 2;
+        writesWait &= !room;
+        return room;
     }
 
     synchronized boolean isUnread(long since) {
--- a/src/main/java/crankwick/net/DatabasePool.java
+++ b/src/main/java/crankwick/net/DatabasePool.java
@@ -19,6 +19,7 @@
 import java.util.concurrent.Future;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.Supplier;
+import org.glassfish.grizzly.CompletionHandler;
 import org.glassfish.grizzly.Connection;
 import org.glassfish.grizzly.EmptyCompletionHandler;
 import org.glassfish.grizzly.WriteResult;
@@ -48,6 +49,9 @@
     /** A connection that breaks so soon under a command had been ended before, unnoticed. */
     private static final long AT_ONCE = 5_000;
 
+    /** A command read so recently is begun without another look at its client. */
+    private static final long FRESH = 10_000;
+
     private static final long STALL_CHECK = 50_000;
     /** How long a host that has left the list is kept: by then nothing names it any more. */
     private static final long HOST_MEMORY = 60_000_000;
@@ -65,6 +69,9 @@
             this.command = command;
         }
 
+        /** True where what the client has done since its command was read should be read before this begins. */
+        abstract boolean needsFreshLook();
+
         /** Asked where the first byte would be written, on that thread. */
         abstract BeginDecision mayBegin();
 
@@ -103,6 +110,11 @@
             this.asked = asked;
         }
 
+        @Override
+        boolean needsFreshLook() {
+            return runner.clock().now() - asked.readAt > FRESH;
+        }
+
         @Override
         BeginDecision mayBegin() {
             if (runner.clock().now() >= beginBy) {
@@ -142,6 +154,11 @@
             runner.loop().after(PROBE_TIMEOUT, () -> giveUp(this, Result.TIMEOUT));
         }
 
+        @Override
+        boolean needsFreshLook() {
+            return false;
+        }
+
         @Override
         BeginDecision mayBegin() {
             return BeginDecision.BEGIN;
@@ -234,22 +251,34 @@
                 }
             };
             Transport.whereItReads(connection, () -> {
-                if (!Transport.isQuiet(connection)) {
-                    runner.loop().execute(this::onClosed);
-                    return;
-                }
-                BeginDecision decision = next.mayBegin();
-                if (decision != BeginDecision.BEGIN) {
-                    counters.countWithheld(decision);
-                    runner.loop().execute(() -> recallIfStill(next));
-                } else if (claim.compareAndSet(false, true)) {
-                    DatabaseCommand command = next.command.get();
-                    codec.expect(connection, command);
-                    connection.write(command, whenWritten);
+                if (next.needsFreshLook()) {
+                    // Tasks go before what has arrived on sockets, but only one turn of them: this one comes behind.
+                    Transport.whereItReads(connection, () -> beginIfWanted(next, claim, whenWritten));
+                } else {
+                    beginIfWanted(next, claim, whenWritten);
                 }
             });
         }
 
+        private void beginIfWanted(
+                Job next,
+                AtomicBoolean claim,
+                CompletionHandler<WriteResult<DatabaseCommand, SocketAddress>> whenWritten) {
+            if (!Transport.isQuiet(connection)) {
+                runner.loop().execute(this::onClosed);
+                return;
+            }
+            DatabaseCommand command = next.command.get();
+            BeginDecision decision = next.mayBegin();
+            if (decision != BeginDecision.BEGIN) {
+                counters.countWithheld(decision);
+                runner.loop().execute(() -> recallIfStill(next));
+            } else if (claim.compareAndSet(false, true)) {
+                codec.expect(connection, command);
+                connection.write(command, whenWritten);
+            }
+        }
+
         /** Keeps the connection for the job until it has rested: that is sooner than another comes up. */
         void startRested(Job next) {
             job = next;
--- a/src/main/java/crankwick/net/FrontCounters.java
+++ b/src/main/java/crankwick/net/FrontCounters.java
@@ -11,6 +11,8 @@
     final AtomicLong closedWhileOwed = new AtomicLong();
 
     final AtomicLong protocolErrors = new AtomicLong();
+    /** Commands beyond what a client may have open, refused in their places. */
+    final AtomicLong excessCommands = new AtomicLong();
     /** How often reading from a client was paused, and for how long at most. */
     final AtomicLong readPauses = new AtomicLong();
 
@@ -25,7 +27,8 @@
     @Override
     public String toString() {
         return "accepted=" + accepted + " turned_away=" + turnedAway + " closed_while_owed=" + closedWhileOwed
-                + " protocol_errors=" + protocolErrors + " read_pauses=" + readPauses + " longest_read_pause_ms="
+                + " protocol_errors=" + protocolErrors + " excess_commands=" + excessCommands + " read_pauses="
+                + readPauses + " longest_read_pause_ms="
                 + longestReadPauseMs;
     }
 }
--- a/src/main/java/crankwick/net/FrontMessage.java
+++ b/src/main/java/crankwick/net/FrontMessage.java
@@ -21,6 +21,9 @@
     /** The empty query: is the proxy ready? */
     record Empty() implements FrontMessage {}
 
+    /** A command that came in while too much of its client was open: its text has been dropped. */
+    record Excess() implements FrontMessage {}
+
     /** It no longer wants the answer to what it sent last. */
     record Attention() implements FrontMessage {}
 
--- a/src/main/java/crankwick/tds/Tds.java
+++ b/src/main/java/crankwick/tds/Tds.java
@@ -53,6 +53,7 @@
     static final int REFUSED_OVER_OUTSTANDING = 50103;
     static final int REFUSED_NO_PRIMARY = 50104;
     static final int REFUSED_OVER_KEYS = 50105;
+    static final int REFUSED_OVER_OPEN_COMMANDS = 50106;
     static final int FAILED_NO_OUTCOME = 50201;
     static final int FAILED_GIVEN_UP = 50202;
     static final int FAILED_CLASS = 50203;
--- a/src/main/java/crankwick/tds/TdsFrontCodec.java
+++ b/src/main/java/crankwick/tds/TdsFrontCodec.java
@@ -102,6 +102,7 @@
                         case OVER_OUTSTANDING -> Tds.REFUSED_OVER_OUTSTANDING;
                         case NO_PRIMARY -> Tds.REFUSED_NO_PRIMARY;
                         case OVER_KEYS -> Tds.REFUSED_OVER_KEYS;
+                        case OVER_OPEN_COMMANDS -> Tds.REFUSED_OVER_OPEN_COMMANDS;
                         default -> Tds.REFUSED_GIVEN_UP;
                     },
                     "refused: " + refused.reason());
--- a/src/test/java/crankwick/app/CrossingsTest.java
+++ b/src/test/java/crankwick/app/CrossingsTest.java
@@ -5,6 +5,7 @@
 import static org.testng.Assert.assertTrue;
 
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
 import org.testng.annotations.Test;
 
 /** Bytes that arrive in the very moment in which something ends, in an order that each test forces. */
@@ -186,6 +187,74 @@
         }
     }
 
+    /**
+     * The client has closed while the thread that reads was held up, and its command is the next thing that this
+     * thread has to write: what has arrived is read first.
+     */
+    @Test(timeOut = TEST_TIMEOUT_MS)
+    public void nothingIsWrittenForAClientThatClosedWhileTheReaderWasHeldUp() throws Exception {
+        try (HeldFront proxy = new HeldFront(10);
+                HeldFront.Client other = proxy.new Client()) {
+            other.write("1", WAIT_MS);
+            assertEquals(other.answer(), "Served primary:1");
+            Thread.sleep(100);
+            HeldFront.Client leaver = proxy.new Client();
+            HeldFront.Hold hold = proxy.hold();
+            leaver.write("2", WAIT_MS);
+            other.send(LineFront.HOLD_READER);
+            leaver.close();
+            Thread.sleep(100);
+            hold.release();
+            proxy.onLoop(() -> {});
+            proxy.wire.readerReleased.countDown();
+            other.write("3", WAIT_MS);
+            assertEquals(other.answer(), "Served primary:3");
+            assertEquals(proxy.ledger.sent("2"), 0, proxy.ledger.seen.toString());
+        }
+    }
+
+    /** However many commands a client sends behind one that waits: each has its answer, in its turn. */
+    @Test(timeOut = TEST_TIMEOUT_MS)
+    public void commandsBeyondTheLimitAreRefusedInTheirPlaces() throws Exception {
+        int more = 200_000;
+        try (HeldFront proxy = new HeldFront(10);
+                HeldFront.Client client = proxy.new Client()) {
+            proxy.database.word = "SILENT";
+            client.write("1", 2_000);
+            client.begin("\n".repeat(more));
+            assertEquals(client.answer(), "Failed");
+            int nothing = 0;
+            int refused = 0;
+            for (int i = 0; i < more; i++) {
+                String answer = client.answer();
+                assertTrue(answer.equals("Nothing") || answer.equals("Refused"), i + ": " + answer);
+                nothing += answer.equals("Nothing") ? 1 : 0;
+                refused += answer.equals("Refused") ? 1 : 0;
+            }
+            assertEquals(nothing + refused, more);
+            assertTrue(nothing >= 1_023, nothing + " of those behind the first are within the limit");
+            assertTrue(proxy.front.counters().contains(" open_bytes=0"), proxy.front.counters());
+        }
+    }
+
+    /** The same client goes instead: its close is seen behind all that it has sent. */
+    @Test(timeOut = TEST_TIMEOUT_MS)
+    public void closeBehindCommandsBeyondTheLimitIsSeen() throws Exception {
+        try (HeldFront proxy = new HeldFront(10)) {
+            proxy.database.word = "SILENT";
+            HeldFront.Client client = proxy.new Client();
+            client.write("1", WAIT_MS);
+            client.begin("\n".repeat(200_000));
+            client.close();
+            long from = System.nanoTime();
+            while (proxy.owed() > 0) {
+                Thread.sleep(1);
+            }
+            assertTrue(System.nanoTime() - from < TimeUnit.MILLISECONDS.toNanos(WAIT_MS / 2));
+            assertTrue(proxy.front.counters().contains(" open_bytes=0"), proxy.front.counters());
+        }
+    }
+
     /** Guards against reading so little ahead that a client's close behind its commands is not seen. */
     @Test(timeOut = TEST_TIMEOUT_MS)
     public void closeBehindManyUnansweredCommandsIsSeen() throws Exception {
--- a/src/test/java/crankwick/app/LineFront.java
+++ b/src/test/java/crankwick/app/LineFront.java
@@ -6,12 +6,17 @@
 import crankwick.net.FrontReply;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.Semaphore;
 import org.glassfish.grizzly.filterchain.FilterChainContext;
 
 /** A client's wire of one line a command, which tells a test what the thread that reads has seen by now. */
 final class LineFront extends CodecFilter {
     static final String CANCEL = "cancel";
+    /** Holds up the thread that reads, until {@link #readerReleased} is open. */
+    static final String HOLD_READER = "hold";
+
+    final CountDownLatch readerReleased = new CountDownLatch(1);
 
     /** One permit for each connection that has been accepted, and for each command that has been read. */
     final Semaphore accepted = new Semaphore(0);
@@ -41,6 +46,11 @@
                 emit(new FrontMessage.Login(""));
             }
             String line = new String(all, 0, end, StandardCharsets.US_ASCII);
+            if (line.equals(HOLD_READER)) {
+                read.release();
+                holdReader();
+                return true;
+            }
             if (line.equals(CANCEL)) {
                 emit(new FrontMessage.Attention());
             } else {
@@ -50,6 +60,14 @@
             return true;
         }
 
+        private void holdReader() {
+            try {
+                readerReleased.await();
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+        }
+
         @Override
         protected int begun() {
             return 0;
