Failing tests: what has arrived is not read before a peer is taken for idle or stalled

The thread that reads is held up, bytes arrive, and the loop decides meanwhile: an idle connection is closed over a command (the client gets no answer), a client is told that it stalls, a database's attempt is given up.

--- a/src/test/java/crankwick/app/CrossingsTest.java
+++ b/src/test/java/crankwick/app/CrossingsTest.java
@@ -213,6 +213,64 @@
         }
     }
 
+    /** An idle connection is to end; its command has arrived while the thread that reads was held up. */
+    @Test(timeOut = TEST_TIMEOUT_MS)
+    public void commandThatArrivesWhileTheReaderIsHeldUpIsAnsweredAsTheProxyCloses() throws Exception {
+        try (HeldFront proxy = new HeldFront(10);
+                HeldFront.Client client = proxy.new Client();
+                HeldFront.Client other = proxy.new Client()) {
+            other.send(LineFront.HOLD_READER);
+            proxy.onLoop(() -> proxy.front.close(proxy.clock.now() + WAIT_MS * HeldFront.MS));
+            client.begin("/* id=1,c=write,d=5000,k=k1,cluster=0 */ INSERT\n");
+            Thread.sleep(100);
+            proxy.wire.readerReleased.countDown();
+            assertEquals(client.answer(), "Served primary:1");
+            assertNull(client.answer());
+        }
+    }
+
+    /** A command's other half has arrived while the thread that reads was held up: the client does not stall. */
+    @Test(timeOut = TEST_TIMEOUT_MS)
+    public void commandWhoseEndHasArrivedIsNoStall() throws Exception {
+        try (HeldFront proxy = new HeldFront(10);
+                HeldFront.Client client = proxy.new Client();
+                HeldFront.Client other = proxy.new Client()) {
+            client.begin("/* id=1,c=write,d=5000,k=k1,clus");
+            proxy.awaitReader();
+            other.send(LineFront.HOLD_READER);
+            client.begin("ter=0 */ INSERT\n");
+            Thread.sleep(2_500);
+            proxy.wire.readerReleased.countDown();
+            assertEquals(client.answer(), "Served primary:1");
+        }
+    }
+
+    /** The same of a database's answer: its attempt is not given up, and not made again. */
+    @Test(timeOut = TEST_TIMEOUT_MS)
+    public void answerWhoseEndHasArrivedIsNoStall() throws Exception {
+        try (HeldFront proxy = new HeldFront(10);
+                HeldFront.Client client = proxy.new Client();
+                HeldFront.Client other = proxy.new Client()) {
+            proxy.database.word = "HALVES";
+            client.write("1", WAIT_MS);
+            while (proxy.ledger.sent("1") == 0) {
+                Thread.sleep(1);
+            }
+            HeldFront.Hold hold = proxy.hold();
+            proxy.database.halves.release();
+            Thread.sleep(50);
+            proxy.awaitReader();
+            other.send(LineFront.HOLD_READER);
+            proxy.database.halves.release();
+            Thread.sleep(400);
+            hold.release();
+            Thread.sleep(200);
+            proxy.wire.readerReleased.countDown();
+            assertEquals(client.answer(), "Served primary:1");
+            assertEquals(proxy.ledger.sent("1"), 1, proxy.ledger.seen.toString());
+        }
+    }
+
     /** However many commands a client sends behind one that waits: each has its answer, in its turn. */
     @Test(timeOut = TEST_TIMEOUT_MS)
     public void commandsBeyondTheLimitAreRefusedInTheirPlaces() throws Exception {
--- a/src/test/java/crankwick/app/StandIn.java
+++ b/src/test/java/crankwick/app/StandIn.java
@@ -10,6 +10,7 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.Semaphore;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 
@@ -44,10 +45,11 @@
     /**
      * VALUE, MISS, FULL, ERROR, SILENT (no answer at all), BREAK (the connection ends instead), SPOILT (every
      * third, one way after the other), TWICE (the value, right behind it a copy, every second time with the
-     * same write) or NO REPORT (unreadable).
+     * same write), HALVES (the value in two parts, each once {@link #halves} lets it go) or NO REPORT (unreadable).
      */
     volatile String word = "VALUE";
 
+    final Semaphore halves = new Semaphore(0);
     private int answers;
     volatile int delayMs;
     /** A new connection is greeted after so long. */
@@ -127,6 +129,9 @@
             ledger.inFlight.remove(id);
             long from = System.nanoTime();
             for (byte[] part : parts(verdict, verdict(verdict, name + ":" + id))) {
+                if (verdict.equals("HALVES")) {
+                    halves.acquire();
+                }
                 socket.getOutputStream().write(part);
                 if (System.nanoTime() - from > COPY_BY) {
                     ledger.lateCopies.add(name + ":" + id);
@@ -147,6 +152,10 @@
             return List.of(spoilt[answers / 3 % spoilt.length]);
         }
         byte[] whole = wire.reply(verdict, false);
+        if (instead.equals("HALVES")) {
+            int half = whole.length / 2;
+            return List.of(Arrays.copyOf(whole, half), Arrays.copyOfRange(whole, half, whole.length));
+        }
         if (!instead.equals("TWICE")) {
             return List.of(whole);
         }
