What has arrived is read before a peer is taken for idle or stalled

Tasks of the thread that reads go before what has arrived on sockets, and the loop does not know what has arrived. Transport.afterReading: a task that is handed over by a task goes behind what has arrived. The close and both stalls look there; the first byte of a command does so already. The test of the database's answer first failed by its own fault (the stand-in worded HALVES as an error); it is mended.

--- a/src/main/java/crankwick/net/ClientFront.java
+++ b/src/main/java/crankwick/net/ClientFront.java
@@ -378,7 +378,8 @@
             if (session.cutAt > 0 ? session.cutAt < now : session.isUnread(now - UNREAD)) {
                 session.connection.terminateSilently();
             } else if (!session.ending && codec.stalled(session.connection, STALL)) {
-                last(session, FrontReply.Cause.BROKEN, "a command without its end");
+                codec.ifStillStalled(
+                        session.connection, STALL, () -> runner.loop().execute(() -> endStalled(session)));
             } else if (!session.ending && session.isIdle()) {
                 endIdle(session, now, idle);
             }
@@ -386,6 +387,12 @@
         runner.loop().after(SWEEP_EVERY, this::sweep);
     }
 
+    private void endStalled(ClientSession session) {
+        if (!session.ending && sessions.contains(session)) {
+            last(session, FrontReply.Cause.BROKEN, "a command without its end");
+        }
+    }
+
     private void endIdle(ClientSession session, long now, long idle) {
         if (closing || session.asked && session.idleSince < now - idle) {
             closeUnlessBusy(session);
--- a/src/main/java/crankwick/net/ClientSession.java
+++ b/src/main/java/crankwick/net/ClientSession.java
@@ -178,11 +178,12 @@
     }
 
     /**
-     * Closes the connection on the thread that reads from it, so that nothing can be read in between. It
-     * stays where a command has been read but not answered, or a part of one has come in: {@code whenBusy}.
+     * Closes the connection on the thread that reads from it, once what has arrived is read, so that nothing can
+     * be read in between. It stays where a command has been read but not answered, or a part of one has come in:
+     * {@code whenBusy}.
      */
     void closeUnlessBusy(CodecFilter codec, Runnable whenBusy) {
-        Transport.whereItReads(connection, () -> {
+        Transport.afterReading(connection, () -> {
             if (isOwedAnAnswer() || !isReadingStopped() && codec.hasPartOfAValue(connection)) {
                 whenBusy.run();
             } else {
--- a/src/main/java/crankwick/net/CodecFilter.java
+++ b/src/main/java/crankwick/net/CodecFilter.java
@@ -171,6 +171,15 @@
         return since != 0 && System.nanoTime() - since > micros * 1_000;
     }
 
+    /** Runs a task, where the connection is read, if it is stalled even once what has arrived is read. */
+    final void ifStillStalled(Connection<?> connection, long micros, Runnable task) {
+        Transport.afterReading(connection, () -> {
+            if (stalled(connection, micros)) {
+                task.run();
+            }
+        });
+    }
+
     @Override
     public final NextAction handleAccept(FilterChainContext context) {
         decoders.set(context.getConnection(), newDecoder());
--- a/src/main/java/crankwick/net/DatabasePool.java
+++ b/src/main/java/crankwick/net/DatabasePool.java
@@ -252,7 +252,7 @@
             };
             Transport.whereItReads(connection, () -> {
                 if (next.needsFreshLook()) {
-                    // Tasks go before what has arrived on sockets, but only one turn of them: this one comes behind.
+                    // From a task on this thread, so behind what has arrived: see Transport.afterReading.
                     Transport.whereItReads(connection, () -> beginIfWanted(next, claim, whenWritten));
                 } else {
                     beginIfWanted(next, claim, whenWritten);
@@ -337,6 +337,12 @@
             }
         }
 
+        void onStalled() {
+            if (!gone) {
+                onBroken("an answer without its end");
+            }
+        }
+
         void onClosed() {
             if (!moveUnbegun()) {
                 boolean stale = kept && runner.clock().now() - startedAt < AT_ONCE;
@@ -588,7 +594,7 @@
     private void endStalled() {
         for (Link link : List.copyOf(byConnection.values())) {
             if (!link.gone && codec.stalled(link.connection, STALL)) {
-                link.onBroken("an answer without its end");
+                codec.ifStillStalled(link.connection, STALL, () -> runner.loop().execute(link::onStalled));
             }
         }
         runner.loop().after(STALL_CHECK, this::endStalled);
--- a/src/main/java/crankwick/net/Transport.java
+++ b/src/main/java/crankwick/net/Transport.java
@@ -88,6 +88,15 @@
         connection.executeInEventThread(IOEvent.WRITE, task);
     }
 
+    /**
+     * Runs a task on the thread that reads from a connection, once what has arrived by now is read: whoever
+     * concludes something from a peer's silence has to have listened first. Tasks go before what has arrived on
+     * sockets, but a task that is handed over by a task goes behind it.
+     */
+    static void afterReading(Connection<?> connection, Runnable task) {
+        whereItReads(connection, () -> whereItReads(connection, task));
+    }
+
     /** True if an open connection has nothing to read; to be asked where it reads. */
     static boolean isQuiet(Connection<?> connection) {
         try {
--- a/src/test/java/crankwick/app/StandIn.java
+++ b/src/test/java/crankwick/app/StandIn.java
@@ -170,7 +170,7 @@
         long position = System.currentTimeMillis() - behind;
         return switch (answer) {
             case "NO REPORT" -> new Wire.Verdict("VALUE", value, mode, position, "x0=9e99,x1=\1");
-            case "TWICE", "SPOILT" -> new Wire.Verdict("VALUE", value, mode, position);
+            case "TWICE", "SPOILT", "HALVES" -> new Wire.Verdict("VALUE", value, mode, position);
             default -> new Wire.Verdict(answer, value, mode, position);
         };
     }
