--- a/src/test/java/crankwick/app/CrossingsTest.java
+++ b/src/test/java/crankwick/app/CrossingsTest.java
@@ -271,6 +271,39 @@
         }
     }
 
+    /** A database's greeting has arrived in time, while the thread that reads was held up. */
+    @Test(timeOut = TEST_TIMEOUT_MS)
+    public void greetingThatHasArrivedIsInTime() throws Exception {
+        int timeoutMs = 500;
+        try (HeldFront proxy = new HeldFront(10, timeoutMs * HeldFront.MS);
+                HeldFront.Client client = proxy.new Client();
+                HeldFront.Client other = proxy.new Client()) {
+            proxy.database.greeting = new CountDownLatch(1);
+            HeldFront.Hold hold = greetedWhileHeldUp(proxy, client, other);
+            Thread.sleep(2 * timeoutMs);
+            hold.release();
+            Thread.sleep(100);
+            proxy.wire.readerReleased.countDown();
+            assertEquals(client.answer(), "Served primary:1");
+            assertEquals(proxy.database.opened.get(), 1);
+        }
+    }
+
+    /** A write of id 1 waits for its connection, whose greeting is before the held reader when this returns. */
+    private static HeldFront.Hold greetedWhileHeldUp(HeldFront proxy, HeldFront.Client client, HeldFront.Client other)
+            throws Exception {
+        client.write("1", WAIT_MS);
+        while (proxy.database.opened.get() == 0) {
+            Thread.sleep(1);
+        }
+        proxy.awaitReader();
+        proxy.onLoop(() -> {});
+        HeldFront.Hold hold = proxy.hold();
+        other.send(LineFront.HOLD_READER);
+        proxy.database.greeting.countDown();
+        return hold;
+    }
+
     /** However many commands a client sends behind one that waits: each has its answer, in its turn. */
     @Test(timeOut = TEST_TIMEOUT_MS)
     public void commandsBeyondTheLimitAreRefusedInTheirPlaces() throws Exception {
--- a/src/test/java/crankwick/app/HeldFront.java
+++ b/src/test/java/crankwick/app/HeldFront.java
@@ -50,13 +50,17 @@
     private final List<Hold> holds = new ArrayList<>();
 
     HeldFront(int maxSessions) throws Exception {
-        Settings settings = TestSettings.keyedWrite(KEY_TTL, 6_000 * MS, CONNECT_TIMEOUT, true);
+        this(maxSessions, CONNECT_TIMEOUT);
+    }
+
+    HeldFront(int maxSessions, long connectTimeout) throws Exception {
+        Settings settings = TestSettings.keyedWrite(KEY_TTL, 6_000 * MS, connectTimeout, true);
         broker = new Broker(settings, 1, Map.of("", Contract.UNLIMITED), null);
         EffectRunner runner = new EffectRunner(broker, loop, clock);
         front = new ClientFront(runner, settings, List.of("write"), ""::equals, maxSessions);
         runner.attach(
                 front,
-                new DatabasePool(runner, transport, new PgDatabaseCodec(), CONNECT_TIMEOUT, IDLE_LIMIT, MAX_LINKS));
+                new DatabasePool(runner, transport, new PgDatabaseCodec(), connectTimeout, IDLE_LIMIT, MAX_LINKS));
         database = new StandIn("primary", "read-write", new PgWire(), ledger);
         var address = new InetSocketAddress("127.0.0.1", database.listener.getLocalPort());
         Member member = new Member("primary", 0, 0, Role.PRIMARY, Standing.LIVE, 0);
