A database's greeting that has arrived counts, also where its timer comes first

Link's connect timer ended a connection whose greeting lay unread after the process had been held up, and the router left the database out as down. Change: what has arrived is read first (Transport.afterReading). Checked: CrossingsTest, 17 passed; with afterReading reduced to one task four of them fail.

--- a/src/main/java/crankwick/net/DatabasePool.java
+++ b/src/main/java/crankwick/net/DatabasePool.java
@@ -198,13 +198,24 @@
         Link(String server, Job job) {
             this.server = server;
             this.job = job;
-            connectTimer = runner.loop().after(connectTimeout, () -> {
-                if (!greeted) {
-                    counters.notUpInTime.incrementAndGet();
-                    LOG.info("{}: {} in time", server, connection == null ? "no connection" : "no greeting");
-                    discard(Result.UNREACHABLE);
-                }
-            });
+            connectTimer = runner.loop().after(connectTimeout, this::onConnectTimeout);
+        }
+
+        private void onConnectTimeout() {
+            if (connection == null) {
+                endIfNotUp("no connection in time");
+            } else {
+                Transport.afterReading(
+                        connection, () -> runner.loop().execute(() -> endIfNotUp("no greeting in time")));
+            }
+        }
+
+        private void endIfNotUp(String why) {
+            if (!greeted && !gone) {
+                counters.notUpInTime.incrementAndGet();
+                LOG.info("{}: {}", server, why);
+                discard(Result.UNREACHABLE);
+            }
         }
 
         @Override
