A second look at a client leaves a connection alone that has gone to another job

Read again: where a command waits for its turn behind the selector and is recalled meanwhile, the connection may have its next job by then, and Transport.isQuiet would have taken a byte of that job's answer. The ended job is recognised by its claim first. Found by reading, before any release; the order needs a recall and a new command within one turn of the selector, which no test here can force. CrossingsTest, 17 passed.

--- a/src/main/java/crankwick/net/DatabasePool.java
+++ b/src/main/java/crankwick/net/DatabasePool.java
@@ -275,6 +275,10 @@
                 Job next,
                 AtomicBoolean claim,
                 CompletionHandler<WriteResult<DatabaseCommand, SocketAddress>> whenWritten) {
+            if (claim.get()) {
+                // Ended meanwhile: the connection may be another job's by now, and what it reads that job's answer.
+                return;
+            }
             if (!Transport.isQuiet(connection)) {
                 runner.loop().execute(this::onClosed);
                 return;
