Answers that are not written yet are bounded: reads beyond are refused, none is lost

ByteBudget (StatementBudget before) is there twice: statements a sixth of the heap, answers not yet written a quarter, of one connection at most half of either. A read's answer beyond that becomes a refusal, counted as dropped_answers; a write's is kept, it has run. Checked: OpenCommandsIT, 2 passed; its first test fails on the program as found (all 300 served), its second runs out of memory where AnswerWriter does not wait for room (300,000 answers).

--- a/src/main/java/crankwick/net/AnswerWriter.java
+++ b/src/main/java/crankwick/net/AnswerWriter.java
@@ -1,6 +1,5 @@
 package crankwick.net;
 
-import crankwick.broker.Reply;
 import java.net.SocketAddress;
 import java.util.function.Consumer;
 import org.glassfish.grizzly.EmptyCompletionHandler;
@@ -64,11 +63,12 @@
     }
 
     private void write(ClientSession session, ClientCommand command) {
-        long bytes = OVERHEAD_BYTES + valueBytes(command.reply);
+        long bytes = OVERHEAD_BYTES + command.reply.valueBytes();
         session.writing(bytes, clock.now());
         var whenWritten = new EmptyCompletionHandler<WriteResult<FrontReply, SocketAddress>>() {
             @Override
             public void completed(WriteResult<FrontReply, SocketAddress> result) {
+                session.releaseAnswer(command.reply.valueBytes());
                 boolean room = session.written(bytes, clock.now());
                 session.settled(command.message, 1);
                 if (room) {
@@ -84,11 +84,4 @@
         };
         session.connection.write(command.reply, whenWritten);
     }
-
-    private static long valueBytes(FrontReply reply) {
-        boolean hasValue = reply instanceof FrontReply.Final f
-                && f.reply() instanceof Reply.Served served
-                && served.value() != null;
-        return hasValue ? ((Reply.Served) ((FrontReply.Final) reply).reply()).value().length : 0;
-    }
 }
--- a/src/main/java/crankwick/net/ClientFront.java
+++ b/src/main/java/crankwick/net/ClientFront.java
@@ -56,8 +56,10 @@
     /** Connections over the cap until the loop has let others go; with more, no further one is accepted. */
     private static final int SPARE = 16;
 
-    /** What clients have open may take so much of the heap. */
-    private static final long MAX_STATEMENT_BYTES = Runtime.getRuntime().maxMemory() / 4;
+    /** Statements of commands that are open may take so much of the heap. */
+    private static final long MAX_STATEMENT_BYTES = Runtime.getRuntime().maxMemory() / 6;
+    /** Values of answers that are not written yet may take so much of the heap. */
+    private static final long MAX_ANSWER_BYTES = Runtime.getRuntime().maxMemory() / 4;
     /** When a command beyond what a client may have open may come again, in microseconds. */
     private static final long EXCESS_RETRY_AFTER = 100_000;
 
@@ -76,7 +78,8 @@
     private boolean full;
     private CodecFilter codec;
     private final FrontCounters counters = new FrontCounters();
-    private final StatementBudget budget = new StatementBudget(MAX_STATEMENT_BYTES);
+    private final ByteBudget statementBudget = new ByteBudget(MAX_STATEMENT_BYTES);
+    private final ByteBudget answerBudget = new ByteBudget(MAX_ANSWER_BYTES);
     private final AnswerWriter answers;
     private final Reply excessReply;
     private volatile TCPNIOServerConnection listener;
@@ -165,7 +168,7 @@
 
     /** What has been counted of client connections, for a line in the log. */
     public String counters() {
-        return counters + " open_bytes=" + budget.reserved();
+        return counters + " open_bytes=" + statementBudget.reserved() + " answer_bytes=" + answerBudget.reserved();
     }
 
     ClientCommand command(long ref) {
@@ -175,11 +178,24 @@
     void answer(long ref, Reply reply) {
         ClientCommand command = open.remove(ref);
         if (command != null) {
-            command.reply = new FrontReply.Final(reply);
+            command.reply = heldAnswer(command.session, reply);
             flush(command.session);
         }
     }
 
+    /** A read's answer for which there is no room is not kept: it may be asked for again. */
+    private FrontReply heldAnswer(ClientSession session, Reply reply) {
+        FrontReply answer = new FrontReply.Final(reply);
+        if (!session.holdAnswer(answer.valueBytes())) {
+            if (reply instanceof Reply.Served served && !served.write()) {
+                counters.droppedAnswers.incrementAndGet();
+                return new FrontReply.Final(excessReply);
+            }
+            session.holdAnswerAnyway(answer.valueBytes());
+        }
+        return answer;
+    }
+
     private void onAccepted(ClientSession session) {
         session.idleSince = runner.clock().now();
         sessions.add(session);
@@ -344,6 +360,7 @@
         session.commands.clear();
         for (ClientCommand command : left) {
             session.settled(command.message, command.times);
+            session.releaseAnswer(command.reply == null ? 0 : command.reply.valueBytes());
             if (open.remove(command.ref) != null) {
                 runner.tell(new BrokerEvent.Left(command.ref, cause));
             }
@@ -415,7 +432,7 @@
         @Override
         public NextAction handleAccept(FilterChainContext context) {
             Connection<SocketAddress> connection = Transport.connection(context);
-            ClientSession session = new ClientSession(connection, budget, counters);
+            ClientSession session = new ClientSession(connection, statementBudget, answerBudget, counters);
             counters.accepted.incrementAndGet();
             ofConnection.set(connection, session);
             hold(1);
--- a/src/main/java/crankwick/net/ClientSession.java
+++ b/src/main/java/crankwick/net/ClientSession.java
@@ -50,13 +50,17 @@
 
     private long messagesTaken;
 
-    private final StatementBudget budget;
+    private final ByteBudget statements;
+    private final ByteBudget answers;
     private final FrontCounters counters;
     /** Messages that are not answered yet, and those of them that are kept with their text. */
     private long unanswered;
 
     private int open;
     private long openBytes;
+    /** Of answers that are not written yet. */
+    private long answerBytes;
+
     private int untaken;
     private boolean paused;
     private long pausedAtNanos;
@@ -73,9 +77,11 @@
 
     private boolean closed;
 
-    ClientSession(Connection<SocketAddress> connection, StatementBudget budget, FrontCounters counters) {
+    ClientSession(
+            Connection<SocketAddress> connection, ByteBudget statements, ByteBudget answers, FrontCounters counters) {
         this.connection = connection;
-        this.budget = budget;
+        this.statements = statements;
+        this.answers = answers;
         this.counters = counters;
     }
 
@@ -107,7 +113,7 @@
             return message;
         }
         int bytes = message.bytes();
-        boolean fits = open < MAX_OPEN_COMMANDS && openBytes + bytes <= MAX_OPEN_BYTES && budget.reserve(bytes);
+        boolean fits = open < MAX_OPEN_COMMANDS && openBytes + bytes <= MAX_OPEN_BYTES && statements.reserve(bytes);
         if (!fits) {
             counters.excessCommands.incrementAndGet();
             return new FrontMessage.Excess();
@@ -141,7 +147,32 @@
         // Guards against giving back twice what the end of the connection has given back.
         long held = Math.min(bytes, openBytes);
         openBytes -= held;
-        budget.release(held);
+        statements.release(held);
+    }
+
+    /** Takes an answer's bytes into account, until {@link #releaseAnswer}; false if they are too many. */
+    synchronized boolean holdAnswer(long bytes) {
+        if (closed) {
+            return true;
+        }
+        boolean fits = answerBytes + bytes <= answers.maxOfOne() && answers.reserve(bytes);
+        answerBytes += fits ? bytes : 0;
+        return fits;
+    }
+
+    /** The same for an answer that can't be withheld. */
+    synchronized void holdAnswerAnyway(long bytes) {
+        if (!closed) {
+            answers.force(bytes);
+            answerBytes += bytes;
+        }
+    }
+
+    /** An answer is written, or nobody wants it any more. */
+    synchronized void releaseAnswer(long bytes) {
+        long held = Math.min(bytes, answerBytes);
+        answerBytes -= held;
+        answers.release(held);
     }
 
     private void noteResumed() {
@@ -166,6 +197,7 @@
     synchronized void closed() {
         closed = true;
         release(openBytes);
+        releaseAnswer(answerBytes);
     }
 
     synchronized boolean isAbandoned(long message) {
--- a/src/main/java/crankwick/net/FrontCounters.java
+++ b/src/main/java/crankwick/net/FrontCounters.java
@@ -10,6 +10,9 @@
     /** Connections that ended with commands not answered. */
     final AtomicLong closedWhileOwed = new AtomicLong();
 
+    /** Answers to reads for which there was no room. */
+    final AtomicLong droppedAnswers = new AtomicLong();
+
     final AtomicLong protocolErrors = new AtomicLong();
     /** Commands beyond what a client may have open, refused in their places. */
     final AtomicLong excessCommands = new AtomicLong();
@@ -27,7 +30,8 @@
     @Override
     public String toString() {
         return "accepted=" + accepted + " turned_away=" + turnedAway + " closed_while_owed=" + closedWhileOwed
-                + " protocol_errors=" + protocolErrors + " excess_commands=" + excessCommands + " read_pauses="
+                + " protocol_errors=" + protocolErrors + " excess_commands=" + excessCommands
+                + " dropped_answers=" + droppedAnswers + " read_pauses="
                 + readPauses + " longest_read_pause_ms="
                 + longestReadPauseMs;
     }
--- a/src/main/java/crankwick/net/FrontReply.java
+++ b/src/main/java/crankwick/net/FrontReply.java
@@ -4,6 +4,11 @@
 
 /** What a client is told, whatever its wire. */
 public sealed interface FrontReply {
+    /** How many bytes the value takes that it carries; 0 for none. */
+    default int valueBytes() {
+        return 0;
+    }
+
     /** Why a connection ends. */
     enum Cause {
         TOO_MANY,
@@ -18,7 +23,12 @@
     record Nothing() implements FrontReply {}
 
     /** A request's final answer. */
-    record Final(Reply reply) implements FrontReply {}
+    record Final(Reply reply) implements FrontReply {
+        @Override
+        public int valueBytes() {
+            return reply instanceof Reply.Served served && served.value() != null ? served.value().length : 0;
+        }
+    }
 
     /** A statement that can't be read; the connection goes on. */
     record Unreadable(String fault) implements FrontReply {}
--- a/src/test/java/crankwick/app/Deployment.java
+++ b/src/test/java/crankwick/app/Deployment.java
@@ -4,6 +4,7 @@
 import java.io.DataInputStream;
 import java.io.IOException;
 import java.io.InputStreamReader;
+import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
@@ -75,6 +76,8 @@
     private int silentBefore;
 
     private int calls;
+    /** Bytes that the system keeps for a client which does not read; as it likes where 0. */
+    volatile int receiveBuffer;
     /** Databases of other groups that the list names besides. */
     volatile int others;
     /** An entry that can't be read stands before the rest, and where those that drain are can't be read. */
@@ -297,7 +300,11 @@
     }
 
     Socket connect() throws IOException {
-        Socket socket = new Socket("127.0.0.1", port);
+        Socket socket = new Socket();
+        if (receiveBuffer > 0) {
+            socket.setReceiveBufferSize(receiveBuffer);
+        }
+        socket.connect(new InetSocketAddress("127.0.0.1", port));
         socket.setTcpNoDelay(true);
         socket.setSoTimeout(30_000);
         return socket;
--- /dev/null
+++ b/src/test/java/crankwick/app/OpenCommandsIT.java
@@ -0,0 +1,67 @@
+package crankwick.app;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.nio.charset.StandardCharsets;
+import org.testng.annotations.Test;
+
+/** What a client has open: commands and answers beyond the bounds are refused, none is lost, memory suffices. */
+public class OpenCommandsIT extends OnBothWires {
+    private static final int VALUE_BYTES = 60_000;
+    private static final int READS = 300;
+    private static final int READS_AT_ONCE = 15;
+    private static final int EMPTY_QUERIES = 300_000;
+    private static final int SMALL_RECEIVE_BUFFER = 16 * 1_024;
+
+    /** Guards against keeping all answers of a client that is slow to take them: 18 MB here. */
+    @Test
+    public void readsWhoseAnswersThereIsNoRoomForAreRefused() throws Exception {
+        try (Deployment d = new Deployment(new PgWire())) {
+            d.receiveBuffer = SMALL_RECEIVE_BUFFER;
+            Deployment.Client client = d.client();
+            d.databases.forEach(database -> database.padding = VALUE_BYTES);
+            for (int i = 0; i < READS; i++) {
+                client.send(statement("map-view", 10_000, ""));
+                Thread.sleep(i % READS_AT_ONCE == 0 ? 100 : 0);
+            }
+            int first = Integer.parseInt(id()) - READS + 1;
+            int served = 0;
+            for (int i = 0; i < READS; i++) {
+                Wire.Answer answer = client.answer();
+                boolean value = answer.kind().equals("SERVED") && answer.value().endsWith(":" + (first + i));
+                assertTrue(value || answer.kind().equals("REFUSED"), "answer " + i + ": " + answer.kind());
+                served += value ? 1 : 0;
+            }
+            assertTrue(served > READS / 4 && served < READS, "served " + served);
+            assertEquals(client.ask(statement("map-view", 10_000, "")).kind(), "SERVED");
+            client.close();
+            kept(d);
+            assertTrue(d.end().contains("open_bytes=0 answer_bytes=0"), d.log.toString());
+        }
+    }
+
+    /** Guards against handing over answers faster than the client takes them: these would take over 100 MB. */
+    @Test
+    public void answersBehindOneThatWaitsTakeNoMoreMemoryThanThereIs() throws Exception {
+        try (Deployment d = new Deployment(new PgWire())) {
+            d.receiveBuffer = SMALL_RECEIVE_BUFFER;
+            Deployment.Client client = d.client();
+            d.primary().word = "SILENT";
+            client.send(statement("reserve", 2_000, ""));
+            byte[] empty = d.wire.command("", 0);
+            String many = new String(empty, StandardCharsets.ISO_8859_1).repeat(EMPTY_QUERIES);
+            client.socket.getOutputStream().write(many.getBytes(StandardCharsets.ISO_8859_1));
+            assertEquals(client.answer().kind(), "FAILED");
+            Thread.sleep(1_000);
+            for (int i = 0; i < EMPTY_QUERIES; i++) {
+                String kind = client.answer().kind();
+                assertTrue(kind.matches("EMPTY|REFUSED"), i + ": " + kind);
+            }
+            client.close();
+            kept(d);
+            assertTrue(d.log.stream().noneMatch(line -> line.contains("OutOfMemoryError")), d.log.toString());
+            assertTrue(d.end().contains("open_bytes=0 answer_bytes=0"), d.log.toString());
+        }
+    }
+}
--- a/src/test/java/crankwick/app/PgWire.java
+++ b/src/test/java/crankwick/app/PgWire.java
@@ -133,7 +133,10 @@
 
     /** A row whose value is said to be longer than it is. */
     private static byte[] row(String value, int more) {
-        return message('D', "\0\1\0\0\0" + (char) (value.length() + more) + value);
+        int length = value.length() + more;
+        String bytes = "" + (char) (length >> 24 & 0xFF) + (char) (length >> 16 & 0xFF) + (char) (length >> 8 & 0xFF)
+                + (char) (length & 0xFF);
+        return message('D', "\0\1" + bytes + value);
     }
 
     @Override
--- a/src/test/java/crankwick/app/StandIn.java
+++ b/src/test/java/crankwick/app/StandIn.java
@@ -52,6 +52,9 @@
     final Semaphore halves = new Semaphore(0);
     private int answers;
     volatile int delayMs;
+    /** A value has so many characters before it. */
+    volatile int padding;
+
     /** A new connection is greeted after so long. */
     volatile int greetMs;
     /** A new connection is greeted once this is open; how many were. */
@@ -128,7 +131,7 @@
             }
             ledger.inFlight.remove(id);
             long from = System.nanoTime();
-            for (byte[] part : parts(verdict, verdict(verdict, name + ":" + id))) {
+            for (byte[] part : parts(verdict, verdict(verdict, "v".repeat(padding) + name + ":" + id))) {
                 if (verdict.equals("HALVES")) {
                     halves.acquire();
                 }
