--- a/src/test/java/crankwick/app/FaultSoak.java
+++ b/src/test/java/crankwick/app/FaultSoak.java
@@ -36,7 +36,7 @@
     }
 
     /** What a run came to. */
-    record Outcome(int requests, int attempts, List<SoakRecord.Break> breaks, List<String> errors) {}
+    record Outcome(int requests, int attempts, int worstLateMs, List<SoakRecord.Break> breaks, List<String> errors) {}
 
     Outcome run() throws IOException, InterruptedException {
         Wire wire = seed % 2 == 0 ? new PgWire() : new TdsWire();
@@ -61,10 +61,19 @@
             }
             List<SoakRecord.Break> breaks = record.judge(d.ledger.seen, killedAt);
             breaks.forEach(broken -> printTimeLine(d, broken));
-            return new Outcome(record.requests.size(), d.ledger.seen.size(), breaks, d.errors());
+            return new Outcome(record.requests.size(), d.ledger.seen.size(), worstLateMs(d), breaks, d.errors());
         }
     }
 
+    /** How late the proxy's loop was at worst, by its own word. */
+    private static int worstLateMs(Deployment d) {
+        return d.log.stream()
+                .filter(line -> line.contains("the loop is up to "))
+                .mapToInt(line -> Integer.parseInt(line.replaceAll(".*the loop is up to (\\d+) ms.*", "$1")))
+                .max()
+                .orElse(0);
+    }
+
     /** What is known of a request that broke a rule: when databases were sent it, and the proxy's own word. */
     private void printTimeLine(Deployment d, SoakRecord.Break broken) {
         System.out.println("seed " + seed + ": " + broken);
--- a/src/test/java/crankwick/app/FaultSoakIT.java
+++ b/src/test/java/crankwick/app/FaultSoakIT.java
@@ -27,7 +27,7 @@
     public void noRuleIsBroken(long seed) throws Exception {
         FaultSoak.Outcome outcome = new FaultSoak(seed).run();
         System.out.println("soak seed " + seed + ": " + outcome.requests() + " requests, " + outcome.attempts()
-                + " attempts, breaks " + outcome.breaks());
+                + " attempts, loop late up to " + outcome.worstLateMs() + " ms, breaks " + outcome.breaks());
         assertTrue(outcome.requests() > 100, "too little traffic to judge: " + outcome.requests());
         assertEquals(outcome.errors().toString(), "[]");
         assertEquals(outcome.breaks().toString(), "[]");
