--- a/src/test/java/crankwick/app/FaultSoak.java
+++ b/src/test/java/crankwick/app/FaultSoak.java
@@ -41,6 +41,7 @@
     Outcome run() throws IOException, InterruptedException {
         Wire wire = seed % 2 == 0 ? new PgWire() : new TdsWire();
         try (Deployment d = new Deployment(wire)) {
+            record.watchOwnPauses();
             List<SoakClient> clients = new ArrayList<>();
             List<Thread> threads = new ArrayList<>();
             for (int i = 0; i < CLIENTS; i++) {
