Review case 2: one message that can't be read stops the proxy

Cause: the parser of the leading comment takes the square of the statement's length, on the event loop.

--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -4,7 +4,7 @@
 review=$(dirname "$folder")
 tmp=$(mktemp -d) || exit 2
 [ -d "$review/classes" ] || exit 2
-java -Xmx1g -cp "$review/classes" HangCase "$(dirname "$review")" "$folder/record.txt" "$tmp" >/dev/null 2>"$tmp/errors" &
+java -Xmx1g -cp "$review/classes" OneMessageCase "$(dirname "$review")" "$folder/record.txt" "$tmp" >/dev/null 2>"$tmp/errors" &
 case=$!
 trap 'kill $case 2>/dev/null' INT TERM
 wait $case
