Parse a statement's hints in linear time

Cause: for each part of the comment, StatementParser.readHints searched the next '=' up to the end of the statement instead of the part's end, and forgot the result: n*n/2 characters for n commas, on the event loop.

Change: the position of the next '=' is kept until the parts have passed it, so each character is looked at a constant number of times.

--- a/src/main/java/crankwick/statement/StatementParser.java
+++ b/src/main/java/crankwick/statement/StatementParser.java
@@ -7,6 +7,7 @@
     private static final int MAX_HINT_LENGTH = 128;
     private static final long MAX_TIMEOUT_MILLIS = 60_000;
     private static final long MILLIS_PER_SECOND = 1_000;
+    private static final int NOT_SEARCHED = -1;
 
     private final String text;
     private String requestId;
@@ -48,19 +49,26 @@
                 timeoutEnd);
     }
 
+    /** Reads the hints between two indexes. Each character is looked at a constant number of times. */
     private void readHints(int start, int commentEnd) {
         int at = start;
+        int equals = NOT_SEARCHED;
         while (at < commentEnd) {
-            int comma = text.indexOf(',', at);
-            int end = comma < 0 || comma > commentEnd ? commentEnd : comma;
-            int equals = text.indexOf('=', at);
-            if (equals > 0 && equals < end) {
+            int end = indexOrEnd(text.indexOf(',', at), commentEnd);
+            if (equals < at) {
+                equals = indexOrEnd(text.indexOf('=', at), commentEnd);
+            }
+            if (equals < end) {
                 readHint(text.substring(at, equals).strip(), equals + 1, end);
             }
             at = end + 1;
         }
     }
 
+    private static int indexOrEnd(int index, int end) {
+        return index < 0 ? end : Math.min(index, end);
+    }
+
     private void readHint(String name, int valueStart, int valueEnd) {
         String value = text.substring(valueStart, valueEnd).strip();
         switch (name) {
--- a/src/test/java/crankwick/app/ClientsIT.java
+++ b/src/test/java/crankwick/app/ClientsIT.java
@@ -12,6 +12,9 @@
 
 /** Invalid, slow, pipelining and disconnecting clients, and graceful shutdown, on both protocols. */
 public class ClientsIT extends BothWiresFixture {
+    /** Fits into one message of either protocol. */
+    private static final int LONG_STATEMENT_CHARS = 120_000;
+
     @Test(dataProvider = "wires")
     public void invalidStatementFailsWithoutAffectingOthers(TestWireClient wire) throws Exception {
         try (Deployment d = new Deployment(wire);
@@ -41,6 +44,26 @@
         }
     }
 
+    /** Guards against statements whose parsing takes the square of their length and holds up every other client. */
+    @Test(dataProvider = "wires")
+    public void longInvalidStatementsDoNotDelayOtherClients(TestWireClient wire) throws Exception {
+        try (Deployment d = new Deployment(wire);
+                Deployment.Client client = d.client();
+                Deployment.Client sender = d.client()) {
+            List<String> repeated = List.of(",", "=", "=,", "d=1,", "k=,", "' ", "/*", "*/");
+            for (String part : repeated) {
+                String hints = part.repeat(LONG_STATEMENT_CHARS / part.length());
+                sender.send("/*" + hints + "*/ SELECT val FROM state");
+            }
+            TestWireClient.Answer answer = client.execute(statement("map-view", 1000, ""));
+            assertEquals(answer.kind(), "SERVED", answer.toString());
+            for (String part : repeated) {
+                assertEquals(sender.readAnswer().kind(), "FAILED", part);
+            }
+            assertNoViolations(d);
+        }
+    }
+
     @Test(dataProvider = "wires")
     public void invalidInputClosesOnlyItsOwnConnection(TestWireClient wire) throws Exception {
         try (Deployment d = new Deployment(wire);
