Cancel an unanswered retry at the end of its key window, and reset what is given up

Cause: the key window was checked before a retry's first byte only. Nothing ended a retry whose last byte arrives later, and a close left the rest of it to the operating system, which goes on delivering it.

Change: each retry whose key window ends before its deadline gets a timer, which cancels the attempt if it is unanswered then. Connections to databases are reset on close unless they are idle (SO_LINGER 0), which discards what the database has not received; this holds for every attempt that is given up.

Unit tests, RulesIT, DrainsIT and ClientDisconnectIT passed.

--- a/src/main/java/crankwick/broker/ActiveRequest.java
+++ b/src/main/java/crankwick/broker/ActiveRequest.java
@@ -158,9 +158,17 @@
      * keys and an attempt may have executed, the end of the key window if that is earlier.
      */
     long startDeadline() {
+        return Math.min(expiresAt, keyWindowEnd());
+    }
+
+    /**
+     * When databases stop discarding repeats of the attempts made so far; {@code Long.MAX_VALUE} if the request's class
+     * does not use idempotency keys or no attempt may have executed.
+     */
+    long keyWindowEnd() {
         boolean hasKeyWindow =
                 requestClass.idempotency() == Idempotency.WITH_KEY && mayHaveExecutedSince != AbsentValue.NONE;
-        return hasKeyWindow ? Math.min(expiresAt, mayHaveExecutedSince + requestClass.keyTtl()) : expiresAt;
+        return hasKeyWindow ? mayHaveExecutedSince + requestClass.keyTtl() : Long.MAX_VALUE;
     }
 
     boolean isWrite() {
--- a/src/main/java/crankwick/broker/AttemptController.java
+++ b/src/main/java/crankwick/broker/AttemptController.java
@@ -60,6 +60,10 @@
         counters.countAttemptSent();
         context.emit(new Effect.SendAttempt(
                 request.id(), attempt, endpointId, request.expiresAt(), request.startDeadline()));
+        if (request.keyWindowEnd() < request.expiresAt()) {
+            context.emit(new Effect.ScheduleTimer(
+                    request.keyWindowEnd() - now, new BrokerEvent.KeyWindowEnded(request.id(), attempt)));
+        }
     }
 
     private static Reply denialReply(ActiveRequest request, AttemptPermit denial) {
@@ -98,6 +102,17 @@
         }
     }
 
+    /**
+     * Cancels an attempt that is still unanswered when its key window ends. The database may not have received all of
+     * it yet, even if it has been written completely, and would execute it again if the rest arrived from now on.
+     */
+    void onKeyWindowEnded(BrokerEvent.KeyWindowEnded event) {
+        ActiveRequest request = requests.find(event.requestId());
+        if (request != null && request.isAttemptInFlight(event.attempt())) {
+            cancel(request, AttemptResult.CANCELLED);
+        }
+    }
+
     /** Cancels the attempt in flight and ends it with {@code result}. */
     void cancel(ActiveRequest request, AttemptResult result) {
         int attempt = request.currentAttemptNumber();
--- a/src/main/java/crankwick/broker/Broker.java
+++ b/src/main/java/crankwick/broker/Broker.java
@@ -82,6 +82,8 @@
             attempts.onEnded(e);
         } else if (event instanceof BrokerEvent.AttemptWritten e) {
             attempts.onWritten(e);
+        } else if (event instanceof BrokerEvent.KeyWindowEnded e) {
+            attempts.onKeyWindowEnded(e);
         } else if (event instanceof BrokerEvent.RequestAbandoned e) {
             lifecycle.abandon(e);
         } else if (event instanceof BrokerEvent.DeadlineReached e) {
--- a/src/main/java/crankwick/broker/BrokerEvent.java
+++ b/src/main/java/crankwick/broker/BrokerEvent.java
@@ -30,6 +30,9 @@
             byte[] value)
             implements BrokerEvent {}
 
+    /** The key window of the attempts before this one has ended: databases no longer discard it as a repeat. */
+    record KeyWindowEnded(long requestId, int attempt) implements BrokerEvent {}
+
     /** A health check has ended. */
     record HealthCheckEnded(String endpointId, AttemptResult result, long duration, LoadReport report)
             implements BrokerEvent {}
--- a/src/main/java/crankwick/broker/Effect.java
+++ b/src/main/java/crankwick/broker/Effect.java
@@ -10,7 +10,9 @@
     record SendAttempt(long requestId, int attempt, String endpointId, long expiresAt, long startDeadline)
             implements Effect {}
 
-    /** Cancel an attempt; a later response to it is discarded. */
+    /**
+     * Cancel an attempt: what its database has not received yet is not delivered, and a later response is discarded.
+     */
     record CancelAttempt(long requestId, int attempt) implements Effect {}
 
     /** Cancel an attempt of which no byte has been written yet; an attempt that has begun continues. */
--- a/src/main/java/crankwick/database/PooledConnection.java
+++ b/src/main/java/crankwick/database/PooledConnection.java
@@ -330,7 +330,10 @@
         return true;
     }
 
-    /** Closes the connection and ends its exchange, if any, with {@code result}. */
+    /**
+     * Closes the connection and ends its exchange, if any, with {@code result}. If there is one, the connection is
+     * reset, so that no rest of its command reaches the database from now on.
+     */
     void discard(AttemptResult result) {
         if (discarded) {
             return;
@@ -342,6 +345,7 @@
         }
         owner.onDiscarded(this, socket);
         if (socket != null) {
+            Transport.setResetOnClose(socket, exchange != null);
             socket.terminateSilently();
         } else {
             connectFuture.cancel(true);
@@ -361,6 +365,7 @@
 
         @Override
         public void completed(Connection<SocketAddress> connected) {
+            Transport.setResetOnClose(connected, true);
             connection.context.loop().execute(() -> connection.onConnected(connected));
             // Written on this thread, so that a delayed event loop is not mistaken for a slow greeting. onConnected is
             // queued first, so the event loop knows the socket before it handles the greeting.
--- a/src/main/java/crankwick/transport/Transport.java
+++ b/src/main/java/crankwick/transport/Transport.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.net.SocketAddress;
+import java.net.StandardSocketOptions;
 import java.nio.ByteBuffer;
 import java.nio.channels.SocketChannel;
 import java.util.concurrent.Future;
@@ -25,9 +26,12 @@
 import org.glassfish.grizzly.strategies.SameThreadIOStrategy;
 import org.glassfish.grizzly.threadpool.DefaultWorkerThread;
 import org.glassfish.grizzly.threadpool.ThreadPoolConfig;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /** The process's Grizzly transport: a single selector thread reads, decodes and passes messages on. */
 public final class Transport implements AutoCloseable {
+    private static final Logger LOG = LoggerFactory.getLogger(Transport.class);
     private static final int READ_BUFFER_BYTES = 16 * 1024;
     /**
      * Limits the memory for the unwritten data of a connection whose peer does not read: writes beyond this limit fail.
@@ -35,6 +39,9 @@
     private static final int MAX_UNWRITTEN_BYTES = 1 << 20;
 
     private static final int ACCEPT_BACKLOG = 1024;
+    /** A negative value disables SO_LINGER. */
+    private static final int LINGER_DISABLED = -1;
+
     private static final HeapMemoryManager MEMORY_MANAGER = new HeapMemoryManager(READ_BUFFER_BYTES);
 
     private final TCPNIOTransport transport;
@@ -136,6 +143,19 @@
         }
     }
 
+    /**
+     * Sets whether closing the connection, also by the end of the process, resets it and discards all bytes that the
+     * peer's machine has not received yet. Otherwise the operating system delivers them after the close, however long
+     * that takes. If the socket refuses the option, it stays as it was.
+     */
+    public static void setResetOnClose(Connection<?> connection, boolean reset) {
+        try {
+            channel(connection).setOption(StandardSocketOptions.SO_LINGER, reset ? 0 : LINGER_DISABLED);
+        } catch (IOException e) {
+            LOG.debug("cannot set SO_LINGER of {}: {}", connection.getPeerAddress(), e.getMessage());
+        }
+    }
+
     private static SocketChannel channel(Connection<?> connection) {
         return (SocketChannel) ((NIOConnection) connection).getChannel();
     }
--- a/src/test/java/crankwick/app/RulesIT.java
+++ b/src/test/java/crankwick/app/RulesIT.java
@@ -10,6 +10,10 @@
 
 /** Runs the broker against databases with scripted replies and faults, over sockets and on both protocols. */
 public class RulesIT extends BothWiresFixture {
+    private static final int LONG_VALUE_BYTES = 50_000;
+    /** Longer than the key window of 2 s, shorter than the deadline of 3 s. */
+    private static final int RETRY_READ_SECONDS_TENTHS = 26;
+
     @Test(dataProvider = "wires")
     public void readsGoToReplicasAndWritesToThePrimary(TestWireClient wire) throws Exception {
         try (Deployment d = new Deployment(wire);
@@ -184,6 +188,31 @@
         }
     }
 
+    /**
+     * Guards against a retry whose last byte reaches a slow database after its key window, also once the proxy has
+     * closed its connection: the database executes it again.
+     */
+    @Test(dataProvider = "wires")
+    public void keyedWriteIsNotDeliveredAfterItsKeyWindow(TestWireClient wire) throws Exception {
+        try (Deployment d = new Deployment(wire);
+                Deployment.Client client = d.client()) {
+            d.primary().replyKind = "DISCONNECT";
+            d.primary().delayMillis = 100;
+            String statement = statement("reserve", 3000, "") + " AND val = '" + "9f".repeat(LONG_VALUE_BYTES) + "'";
+            client.send(statement);
+            while (d.attemptLog.countAttempts(lastId()) == 0) {
+                Thread.sleep(1);
+            }
+            d.primary().replyKind = "VALUE";
+            d.primary().readBytesPerSecond = wire.encodeCommand(statement, 0).length * 10 / RETRY_READ_SECONDS_TENTHS;
+            TestWireClient.Answer answer = client.readAnswer();
+            assertEquals(answer.kind(), "FAILED", answer.toString());
+            Thread.sleep(TimeUnit.SECONDS.toMillis(2));
+            assertEquals(d.attemptLog.countAttempts(lastId()), 1, "attempts whose last byte has arrived");
+            assertNoViolations(d);
+        }
+    }
+
     /** Guards against a read lost on a database that does not reply, and against concurrent attempts of one read. */
     @Test(dataProvider = "wires")
     public void readOnASilentReplicaIsCancelledAndRetriedOnTheOther(TestWireClient wire) throws Exception {
--- a/src/test/java/crankwick/app/ScriptedDatabase.java
+++ b/src/test/java/crankwick/app/ScriptedDatabase.java
@@ -1,7 +1,10 @@
 package crankwick.app;
 
 import java.io.DataInputStream;
+import java.io.FilterInputStream;
 import java.io.IOException;
+import java.io.InputStream;
+import java.io.InterruptedIOException;
 import java.net.Socket;
 import java.net.SocketTimeoutException;
 import java.util.Arrays;
@@ -37,6 +40,9 @@
         }
     }
 
+    private static final int RECEIVE_BUFFER_BYTES = 8 * 1_024;
+    private static final int MAX_PIECE_BYTES = 1_024;
+
     /** The proxy reuses a connection 10 ms after an answer at the earliest, and must not serve copies sent by then. */
     private static final long MAX_COPY_DELAY = TimeUnit.MILLISECONDS.toNanos(8);
 
@@ -56,6 +62,9 @@
     /** Number of characters that precede each value. */
     volatile int paddingChars;
 
+    /** How fast statements are read; 0 for as fast as they arrive. The receive buffer is small in either case. */
+    volatile int readBytesPerSecond;
+
     /** Delay before the login on a new connection is accepted. */
     volatile int greetingDelayMillis;
     /** Logins on new connections are accepted once this opens. */
@@ -80,12 +89,13 @@
         this.mode = mode;
         this.wire = wire;
         this.attemptLog = attemptLog;
+        listener.setReceiveBufferSize(RECEIVE_BUFFER_BYTES);
         start();
     }
 
     @Override
     void serve(Socket socket) throws IOException, InterruptedException {
-        DataInputStream in = new DataInputStream(socket.getInputStream());
+        DataInputStream in = new DataInputStream(new ThrottledInput(socket.getInputStream()));
         if (resetsConnections && accepted++ % 5 == 4) {
             socket.setSoLinger(true, 0);
             return;
@@ -181,6 +191,28 @@
         };
     }
 
+    /** Reads at the pace of {@link #readBytesPerSecond}, in pieces. */
+    private final class ThrottledInput extends FilterInputStream {
+        ThrottledInput(InputStream in) {
+            super(in);
+        }
+
+        @Override
+        public int read(byte[] bytes, int offset, int length) throws IOException {
+            int rate = readBytesPerSecond;
+            if (rate == 0) {
+                return super.read(bytes, offset, length);
+            }
+            int piece = Math.min(length, MAX_PIECE_BYTES);
+            try {
+                Thread.sleep(TimeUnit.SECONDS.toMillis(piece) / rate);
+            } catch (InterruptedException e) {
+                throw new InterruptedIOException();
+            }
+            return super.read(bytes, offset, piece);
+        }
+    }
+
     /** Waits; returns false if the proxy closes the connection meanwhile. */
     private static boolean staysOpen(Socket socket, DataInputStream in, int millis) throws IOException {
         socket.setSoTimeout(millis);
--- a/src/test/java/crankwick/broker/BrokerDeadlineTest.java
+++ b/src/test/java/crankwick/broker/BrokerDeadlineTest.java
@@ -111,6 +111,23 @@
         assertEquals(sentAttempts().get(1).startDeadline(), START + KEY_TTL);
     }
 
+    /** Guards against a retry that is delivered, and so executed again, after its key window. */
+    @Test
+    public void unansweredRetryIsCancelledAtTheEndOfItsKeyWindow() {
+        endAttempt(START + 100 * MICROS_PER_MILLI, AttemptResult.RESET);
+        reduce(START + 110 * MICROS_PER_MILLI, new BrokerEvent.AttemptWritten(REQUEST_ID, 1));
+        Effect.ScheduleTimer windowTimer = effectsOf(Effect.ScheduleTimer.class).stream()
+                .filter(timer -> timer.event() instanceof BrokerEvent.KeyWindowEnded)
+                .findAny()
+                .orElseThrow();
+        assertEquals(windowTimer.delay(), KEY_TTL - 100 * MICROS_PER_MILLI);
+        reduce(START + KEY_TTL, windowTimer.event());
+        assertEquals(effectsOf(Effect.CancelAttempt.class), List.of(new Effect.CancelAttempt(REQUEST_ID, 1)));
+        assertEquals(sentAttempts().size(), 2);
+        assertEquals(replies().size(), 1);
+        assertTrue(replies().get(0) instanceof Reply.Failed, replies().toString());
+    }
+
     @Test
     public void retryOfAWriteThatNeverExecutedMayBeginUntilTheDeadline() {
         endAttempt(START + 100 * MICROS_PER_MILLI, AttemptResult.REJECTED_OVERLOADED);
