Hold a client's retry to the key window of the key's first request, and fail it at the window's end

Callers of a proxy with [handover] could see a keyed write applied twice: a client's retry under a new request id was checked against the key's window when its attempt was decided, but neither at its first byte, up to the connect timeout of 250 ms later, nor at the end of the window.

Cause: ActiveRequest knew only of its own attempts; the window of other requests with the key is known to the failover coordinator alone. Change: the coordinator's window bounds the attempt's start deadline and its KeyWindowEnded timer. That event now also answers the request (KEY_IN_DOUBT) instead of leaving it to the router, which doesn't know the other request's window and would wait.

--- a/src/main/java/crankwick/broker/ActiveRequest.java
+++ b/src/main/java/crankwick/broker/ActiveRequest.java
@@ -47,6 +47,7 @@
     private String endpointId;
     private long sentAt;
     private long mayHaveExecutedSince = AbsentValue.NONE;
+    private long sharedKeyWindowEnd = Long.MAX_VALUE;
     private boolean queuedCancelRequested;
 
     /** Creates a request that is admitted at {@code now}; it counts as routed unless {@link #buffer} is called. */
@@ -103,6 +104,11 @@
         }
     }
 
+    /** Records the end of the key window that attempts of other requests with the same key have started. */
+    void limitKeyWindow(long end) {
+        sharedKeyWindowEnd = Math.min(sharedKeyWindowEnd, end);
+    }
+
     /** Records that cancellation of the queued attempt was requested at the deadline; it is requested only once. */
     void markQueuedCancelRequested() {
         queuedCancelRequested = true;
@@ -162,13 +168,14 @@
     }
 
     /**
-     * When databases stop discarding repeats of the attempts made so far; {@code Long.MAX_VALUE} if the request's class
-     * does not use idempotency keys or no attempt may have executed.
+     * When databases stop discarding repeats of the attempts made so far, here and by other requests with the key;
+     * {@code Long.MAX_VALUE} if the request's class does not use idempotency keys or no attempt may have executed.
      */
     long keyWindowEnd() {
         boolean hasKeyWindow =
                 requestClass.idempotency() == Idempotency.WITH_KEY && mayHaveExecutedSince != AbsentValue.NONE;
-        return hasKeyWindow ? mayHaveExecutedSince + requestClass.keyTtl() : Long.MAX_VALUE;
+        long end = hasKeyWindow ? mayHaveExecutedSince + requestClass.keyTtl() : Long.MAX_VALUE;
+        return Math.min(end, sharedKeyWindowEnd);
     }
 
     boolean isWrite() {
--- a/src/main/java/crankwick/broker/AttemptController.java
+++ b/src/main/java/crankwick/broker/AttemptController.java
@@ -56,6 +56,7 @@
             lifecycle.removeIfFinished(request);
             return;
         }
+        request.limitKeyWindow(failover.keyWindowEnd(request.id()));
         request.beginAttempt(endpointId, now);
         counters.countAttemptSent();
         context.emit(new Effect.SendAttempt(
@@ -103,12 +104,16 @@
     }
 
     /**
-     * Cancels an attempt that is still unanswered when its key window ends. The database may not have received all of
-     * it yet, even if it has been written completely, and would execute it again if the rest arrived from now on.
+     * Fails a request whose attempt is still unanswered when its key window ends, and cancels the attempt. The database
+     * may not have received all of it yet, even if it has been written completely, and would execute it again if the
+     * rest arrived from now on.
      */
     void onKeyWindowEnded(BrokerEvent.KeyWindowEnded event) {
         ActiveRequest request = requests.find(event.requestId());
         if (request != null && request.isAttemptInFlight(event.attempt())) {
+            if (!request.isCompleted()) {
+                lifecycle.reply(request, new Reply.Failed(Reply.Reason.KEY_IN_DOUBT));
+            }
             cancel(request, AttemptResult.CANCELLED);
         }
     }
--- a/src/main/java/crankwick/broker/FailoverDelegate.java
+++ b/src/main/java/crankwick/broker/FailoverDelegate.java
@@ -55,6 +55,14 @@
         return coordinator == null ? AttemptPermit.GRANTED : coordinator.permitAttempt(requestId, endpointId, now);
     }
 
+    /**
+     * When databases stop discarding repeats of the request's key, by the attempts of all requests with this key;
+     * {@code Long.MAX_VALUE} if none of them may have executed or there is no coordinator.
+     */
+    long keyWindowEnd(long requestId) {
+        return coordinator == null ? Long.MAX_VALUE : coordinator.keyWindowEnd(requestId);
+    }
+
     /**
      * True if a request with this request's key may have executed and a repeat may execute again, so that a retry must
      * not be reported as safe.
--- a/src/main/java/crankwick/failover/FailoverCoordinator.java
+++ b/src/main/java/crankwick/failover/FailoverCoordinator.java
@@ -93,6 +93,14 @@
         return requests.permitAttempt(requestId, endpointId, now);
     }
 
+    /**
+     * When databases stop discarding repeats of the request's key, by the attempts of all requests with this key;
+     * {@code Long.MAX_VALUE} if the request is not tracked or none of them may have executed.
+     */
+    public long keyWindowEnd(long requestId) {
+        return requests.keyWindowEnd(requestId);
+    }
+
     /** Handles the end of an attempt. */
     public void onAttemptEnded(long requestId, AttemptResult result, long duration, long now) {
         requests.onAttemptEnded(requestId, result, duration, now);
--- a/src/main/java/crankwick/failover/KeyWindows.java
+++ b/src/main/java/crankwick/failover/KeyWindows.java
@@ -40,7 +40,17 @@
     }
 
     private long lastSendAt(TrackedRequest request) {
-        return request.mayHaveExecutedSince() + request.requestClass().keyTtl() - settings.keyMargin();
+        return windowEnd(request) - settings.keyMargin();
+    }
+
+    /**
+     * Returns when databases stop discarding repeats of the request's key; {@code Long.MAX_VALUE} if no request with
+     * this key may have executed.
+     */
+    long windowEnd(TrackedRequest request) {
+        return request.mayHaveExecuted()
+                ? request.mayHaveExecutedSince() + request.requestClass().keyTtl()
+                : Long.MAX_VALUE;
     }
 
     /** Records that an attempt is sent now; returns false if the registry is full, and the attempt must not be sent. */
--- a/src/main/java/crankwick/failover/RequestTracker.java
+++ b/src/main/java/crankwick/failover/RequestTracker.java
@@ -151,6 +151,15 @@
         return AttemptPermit.GRANTED;
     }
 
+    /**
+     * Returns when databases stop discarding repeats of the request's key; {@code Long.MAX_VALUE} if the request is not
+     * tracked or no request with its key may have executed.
+     */
+    long keyWindowEnd(long requestId) {
+        TrackedRequest request = tracked.get(requestId);
+        return request == null ? Long.MAX_VALUE : keys.windowEnd(request);
+    }
+
     /** Handles the end of an attempt. */
     void onAttemptEnded(long requestId, AttemptResult result, long duration, long now) {
         TrackedRequest request = tracked.get(requestId);
--- a/src/test/java/crankwick/broker/BrokerDeadlineTest.java
+++ b/src/test/java/crankwick/broker/BrokerDeadlineTest.java
@@ -124,8 +124,7 @@
         reduce(START + KEY_TTL, windowTimer.event());
         assertEquals(effectsOf(Effect.CancelAttempt.class), List.of(new Effect.CancelAttempt(REQUEST_ID, 1)));
         assertEquals(sentAttempts().size(), 2);
-        assertEquals(replies().size(), 1);
-        assertTrue(replies().get(0) instanceof Reply.Failed, replies().toString());
+        assertEquals(replies(), List.of(new Reply.Failed(Reply.Reason.KEY_IN_DOUBT)));
     }
 
     @Test
--- a/src/test/java/crankwick/broker/BrokerFailoverTest.java
+++ b/src/test/java/crankwick/broker/BrokerFailoverTest.java
@@ -224,6 +224,23 @@
         assertEquals(attemptsOf(later), 1, "the key is no longer remembered");
     }
 
+    /** Guards against a client's retry that begins, or is delivered, after the key window of its first request. */
+    @Test
+    public void clientRetryIsBoundByTheKeyWindowOfTheFirstRequest() {
+        long windowEnd = now + KEY_TTL;
+        long first = write("k", 3_000 * MICROS_PER_MILLI);
+        reduce(new BrokerEvent.AttemptWritten(first, 0));
+        advance(50 * MICROS_PER_MILLI);
+        reduce(new BrokerEvent.RequestAbandoned(first, AbandonReason.CLOSED));
+        long retry = write("k", 3_000 * MICROS_PER_MILLI);
+        assertEquals(sentAttempts.get(sentAttempts.size() - 1).requestId(), retry);
+        assertEquals(sentAttempts.get(sentAttempts.size() - 1).startDeadline(), windowEnd);
+        reduce(new BrokerEvent.AttemptWritten(retry, 0));
+        advance(windowEnd - now);
+        assertEquals(reasonOf(retry), Reply.Reason.KEY_IN_DOUBT);
+        assertEquals(attemptsOf(retry), 1);
+    }
+
     /** The earlier request may have executed, and a rejection would wrongly report that the key has not. */
     @Test
     public void retryOfAKeyWithUnknownOutcomeFailsInsteadOfBeingRejected() {
