Test that a connection which does not synchronize is replaced

A database that answers statements but no empty query left no test: a request would wait for such a connection. On both protocols ten writes in a row, 750 ms each, are served on new connections.

--- a/src/test/java/crankwick/app/RulesIT.java
+++ b/src/test/java/crankwick/app/RulesIT.java
@@ -135,6 +135,20 @@
         }
     }
 
+    /** Guards against requests that wait for a connection whose database has stopped answering after a response. */
+    @Test(dataProvider = "wires")
+    public void connectionThatDoesNotSynchronizeIsReplaced(TestWireClient wire) throws Exception {
+        try (Deployment d = new Deployment(wire);
+                Deployment.Client client = d.client()) {
+            d.databases.forEach(database -> database.answersEmptyQueries = false);
+            for (int i = 0; i < 10; i++) {
+                assertServedBy(client.execute(statement("reserve", 750, "")), "s-a");
+            }
+            assertEquals(d.attemptLog.attempts.size(), 10);
+            assertNoViolations(d);
+        }
+    }
+
     private void checkDuplicatesAreNotServed(TestWireClient wire, int copyDelayMillis, int rounds) throws Exception {
         try (Deployment d = new Deployment(wire);
                 Deployment.Client client = d.client();
--- a/src/test/java/crankwick/app/ScriptedDatabase.java
+++ b/src/test/java/crankwick/app/ScriptedDatabase.java
@@ -55,6 +55,7 @@
     /** The pause after each part of a reply, before the next one. */
     volatile int copyDelayMillis = 1;
 
+    volatile boolean answersEmptyQueries = true;
     volatile int delayMillis;
     /** Number of characters that precede each value. */
     volatile int paddingChars;
@@ -110,7 +111,9 @@
                 return;
             }
             if (statement.isEmpty()) {
-                socket.getOutputStream().write(wire.emptyQueryReply());
+                if (answersEmptyQueries) {
+                    socket.getOutputStream().write(wire.emptyQueryReply());
+                }
                 continue;
             }
             if (resetsConnections && statements++ > 0) {
