--- a/src/test/java/crankwick/app/ConnectionRaceTest.java
+++ b/src/test/java/crankwick/app/ConnectionRaceTest.java
@@ -361,6 +361,9 @@
             proxy.database.replyKind = "NO_REPLY";
             PausableProxyFixture.Client client = proxy.new Client();
             client.sendWrite("1", DEADLINE_MILLIS);
+            while (proxy.outstandingRequests() == 0) {
+                Thread.sleep(1);
+            }
             client.sendPart("\n".repeat(200_000));
             client.close();
             long from = System.nanoTime();
