Close a connection whose database does not answer the empty query in time

A connection without this answer serves no command, but stayed in the pool until its idle limit of several seconds and took a place of the database's connections. Seen in connectionThatDoesNotSynchronizeIsReplaced, extended by this check: one connection open 1 s after the last write, on both protocols; none now.

Change: the decoder counts the answer that is owed as an incomplete message, so that the limit on stalled responses, 250 ms, closes the connection.

Measured: RulesIT passed.

--- a/src/main/java/crankwick/pg/PgDatabaseCodec.java
+++ b/src/main/java/crankwick/pg/PgDatabaseCodec.java
@@ -215,7 +215,10 @@
 
         @Override
         protected int partialBytes() {
-            return !responseStarted ? 0 : value == null ? 1 : value.length + 1;
+            if (!responseStarted) {
+                return synchronizing ? 1 : 0;
+            }
+            return value == null ? 1 : value.length + 1;
         }
 
         @Override
--- a/src/main/java/crankwick/tds/TdsDatabaseCodec.java
+++ b/src/main/java/crankwick/tds/TdsDatabaseCodec.java
@@ -122,6 +122,11 @@
             }
         }
 
+        @Override
+        protected int partialBytes() {
+            return synchronizing ? super.partialBytes() + 1 : super.partialBytes();
+        }
+
         private void onEmptyBatchAnswered(ByteBuffer body) {
             boolean done = body.remaining() == 1 + DONE_BODY_BYTES
                     && (body.get() & TdsProtocol.BYTE_MASK) == TdsProtocol.DONE
--- a/src/main/java/crankwick/transport/CodecFilter.java
+++ b/src/main/java/crankwick/transport/CodecFilter.java
@@ -55,7 +55,10 @@
         /** Creates the message that reports a protocol error. */
         protected abstract Object protocolError(String fault);
 
-        /** The number of bytes of an incomplete message that the decoder itself buffers; 0 between messages. */
+        /**
+         * The number of bytes of an incomplete message that the decoder itself buffers; 0 between messages. At least 1
+         * also while the peer owes an answer to bytes that the decoder has written with {@link #respond}.
+         */
         protected abstract int partialBytes();
 
         /** Adds a message to those that are passed up the filter chain after the current read. */
--- a/src/test/java/crankwick/app/RulesIT.java
+++ b/src/test/java/crankwick/app/RulesIT.java
@@ -135,7 +135,10 @@
         }
     }
 
-    /** Guards against requests that wait for a connection whose database has stopped answering after a response. */
+    /**
+     * Guards against requests that wait for a connection whose database has stopped answering after a response, and
+     * against keeping such connections.
+     */
     @Test(dataProvider = "wires")
     public void connectionThatDoesNotSynchronizeIsReplaced(TestWireClient wire) throws Exception {
         try (Deployment d = new Deployment(wire);
@@ -145,6 +148,8 @@
                 assertServedBy(client.execute(statement("reserve", 750, "")), "s-a");
             }
             assertEquals(d.attemptLog.attempts.size(), 10);
+            Thread.sleep(1_000);
+            assertEquals(d.primary().connections(), 0, "connections that will not synchronize");
             assertNoViolations(d);
         }
     }
