--- a/src/test/java/crankwick/app/StartIT.java
+++ b/src/test/java/crankwick/app/StartIT.java
@@ -61,7 +61,10 @@
         try (Deployment d = new Deployment(new PgTestClient());
                 Deployment.Client client = d.client()) {
             String statement = "/* id=1,c=map-view,d=2000,cluster=0 */ SELECT val FROM state";
-            assertEquals(client.execute(statement).kind(), "SERVED");
+            TestWireClient.Answer answer = client.execute(statement);
+            List<String> log =
+                    d.log.stream().filter(line -> !line.contains("source:")).toList();
+            assertEquals(answer.kind(), "SERVED", answer + " " + log);
             for (String name : List.of(
                     "java.lang.runtime.ObjectMethods",
                     "java.util.logging.ConsoleHandler",
