--- a/src/main/java/crankwick/app/Service.java
+++ b/src/main/java/crankwick/app/Service.java
@@ -36,6 +36,7 @@
     /** Counters are also logged periodically, because a process that is killed cannot log them at exit. */
     private static final long COUNTERS_INTERVAL_MICROS = 10_000_000;
 
+    private static final long BYTES_PER_KILOBYTE = 1_024;
     private static final long SHUTDOWN_CHECK_INTERVAL_MICROS = 10_000;
 
     /**
@@ -206,11 +207,17 @@
         return broker.counters() + " clients: " + listener.counters() + " databases: " + pool.counters();
     }
 
+    private static String heapUse() {
+        Runtime runtime = Runtime.getRuntime();
+        return "process: heap_used_kb=" + (runtime.totalMemory() - runtime.freeMemory()) / BYTES_PER_KILOBYTE
+                + " heap_max_kb=" + runtime.maxMemory() / BYTES_PER_KILOBYTE;
+    }
+
     private void logCounters() {
         String counters = allCounters();
         if (!counters.equals(lastCounters)) {
             lastCounters = counters;
-            LOG.info("{} listener: counts so far: {}", protocol.name(), counters);
+            LOG.info("{} listener: counts so far: {} {}", protocol.name(), counters, heapUse());
         }
         loop.schedule(COUNTERS_INTERVAL_MICROS, this::logCounters);
     }
--- a/src/main/java/crankwick/broker/RequestHistory.java
+++ b/src/main/java/crankwick/broker/RequestHistory.java
@@ -1,6 +1,7 @@
 package crankwick.broker;
 
 import crankwick.routing.api.AttemptResult;
+import crankwick.routing.api.GiveUpCause;
 import java.util.ArrayList;
 import java.util.List;
 
@@ -30,6 +31,8 @@
     private long abandonedAt;
     private Reply reply;
     private long repliedAt;
+    /** Why the router gave the request up; null unless it did. */
+    private GiveUpCause giveUpCause;
 
     RequestHistory(ClientRequest request, long receivedAt) {
         clientRequestId = request.clientRequestId();
@@ -60,6 +63,10 @@
         repliedAt = now;
     }
 
+    void recordGiveUpCause(GiveUpCause cause) {
+        giveUpCause = cause;
+    }
+
     private Attempt lastAttempt() {
         return attempts.get(attempts.size() - 1);
     }
@@ -80,6 +87,9 @@
         if (reply != null) {
             line.append(" answer=").append(nameOf(reply)).append('@').append(millisSinceReceived(repliedAt));
         }
+        if (giveUpCause != null) {
+            line.append(" cause=").append(giveUpCause);
+        }
         line.append(" attempts=").append(attempts.size());
         for (Attempt attempt : attempts) {
             appendAttempt(line, attempt);
--- a/src/main/java/crankwick/broker/RequestLifecycle.java
+++ b/src/main/java/crankwick/broker/RequestLifecycle.java
@@ -38,7 +38,7 @@
         boolean idInUse = requests.isClientRequestIdInUse(request.clientRequestId());
         AdmissionDecision decision = admission.decide(request, idInUse, context.now());
         if (decision instanceof AdmissionDecision.Denied denied) {
-            emitReply(request.requestId(), denied.reply());
+            deny(request, denied.reply());
         } else if (decision instanceof AdmissionDecision.Admitted admitted) {
             accept(request, admitted);
         }
@@ -49,11 +49,11 @@
         long expiresAt = now + admitted.timeout();
         FailoverAdmission failoverAdmission = failover.admit(request, expiresAt, now);
         if (failoverAdmission == FailoverAdmission.REJECT) {
-            emitReply(request.requestId(), failover.noPrimaryReply(request, now));
+            deny(request, failover.noPrimaryReply(request, now));
             return;
         }
         if (failoverAdmission == FailoverAdmission.FAIL) {
-            emitReply(request.requestId(), new Reply.Failed(Reply.Reason.KEY_IN_DOUBT));
+            deny(request, new Reply.Failed(Reply.Reason.KEY_IN_DOUBT));
             return;
         }
         RequestClass requestClass = requestClasses.get(request.classIndex());
@@ -68,6 +68,14 @@
         }
     }
 
+    /** Replies to a request that is not admitted. */
+    private void deny(ClientRequest request, Reply reply) {
+        emitReply(request.requestId(), reply);
+        RequestHistory history = new RequestHistory(request, context.now());
+        history.recordReply(reply, context.now());
+        log(history);
+    }
+
     /** Passes a buffered request to the router. */
     void release(ActiveRequest active) {
         active.release();
@@ -139,10 +147,14 @@
      */
     void removeIfFinished(ActiveRequest active) {
         if (active.isFinished() && requests.remove(active)) {
-            String line = historyLog.logLineFor(active.history(), context.now());
-            if (line != null) {
-                context.emit(new Effect.Log(line));
-            }
+            log(active.history());
+        }
+    }
+
+    private void log(RequestHistory history) {
+        String line = historyLog.logLineFor(history, context.now());
+        if (line != null) {
+            context.emit(new Effect.Log(line));
         }
     }
 }
--- a/src/main/java/crankwick/broker/RouterActionHandler.java
+++ b/src/main/java/crankwick/broker/RouterActionHandler.java
@@ -1,6 +1,7 @@
 package crankwick.broker;
 
 import crankwick.routing.api.AttemptResult;
+import crankwick.routing.api.GiveUpCause;
 import crankwick.routing.api.RoutingActions;
 
 /**
@@ -57,6 +58,14 @@
         reply(requestId, new Reply.Failed(Reply.Reason.GIVEN_UP));
     }
 
+    @Override
+    public void explainGiveUp(long requestId, GiveUpCause cause) {
+        ActiveRequest request = requests.find(requestId);
+        if (request != null) {
+            request.history().recordGiveUpCause(cause);
+        }
+    }
+
     private void reply(long requestId, Reply reply) {
         ActiveRequest request = requests.find(requestId);
         if (request != null) {
--- a/src/main/java/crankwick/client/ClientCounters.java
+++ b/src/main/java/crankwick/client/ClientCounters.java
@@ -1,6 +1,8 @@
 package crankwick.client;
 
+import java.util.StringJoiner;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.concurrent.atomic.AtomicLongArray;
 
 /** Counters of a listener's client connections since startup; thread-safe. */
 final class ClientCounters {
@@ -12,6 +14,8 @@
     private final AtomicLong overLimitCommands = new AtomicLong();
     private final AtomicLong readPauses = new AtomicLong();
     private final AtomicLong maxReadPauseMillis = new AtomicLong();
+    /** The number of closed connections by reason. */
+    private final AtomicLongArray closes = new AtomicLongArray(CloseReason.values().length);
 
     void countAccepted() {
         accepted.incrementAndGet();
@@ -47,12 +51,26 @@
         maxReadPauseMillis.accumulateAndGet(millis, Math::max);
     }
 
+    void countClose(CloseReason reason) {
+        closes.incrementAndGet(reason.ordinal());
+    }
+
+    private String closesByReason() {
+        StringJoiner reasons = new StringJoiner(", ", "{", "}");
+        for (CloseReason reason : CloseReason.values()) {
+            if (closes.get(reason.ordinal()) > 0) {
+                reasons.add(reason + "=" + closes.get(reason.ordinal()));
+            }
+        }
+        return reasons.toString();
+    }
+
     /** The counters as {@code name=value} pairs for a log line. */
     @Override
     public String toString() {
         return "accepted=" + accepted + " rejected_connections=" + rejected + " closed_unanswered=" + closedUnanswered
                 + " protocol_errors=" + protocolErrors + " over_limit_commands=" + overLimitCommands
                 + " dropped_replies=" + droppedReplies + " read_pauses=" + readPauses + " max_read_pause_ms="
-                + maxReadPauseMillis;
+                + maxReadPauseMillis + " closed=" + closesByReason();
     }
 }
--- a/src/main/java/crankwick/client/ClientListener.java
+++ b/src/main/java/crankwick/client/ClientListener.java
@@ -6,6 +6,7 @@
 import crankwick.transport.Clock;
 import crankwick.transport.CodecFilter;
 import crankwick.transport.EventLoop;
+import crankwick.transport.SelectorLagMonitor;
 import crankwick.transport.Transport;
 import java.io.IOException;
 import java.net.InetSocketAddress;
@@ -64,7 +65,8 @@
         Reply overLimitReply = overLimitReply(settings.routing().limits());
         acceptLimiter = new AcceptLimiter(settings.maxSessions());
         requests = new OpenRequests(broker);
-        sessions = new SessionTable(loop, codec, requests, counters, settings.maxSessions());
+        sessions = new SessionTable(
+                loop, codec, requests, counters, new CloseLog(clock, counters), settings.maxSessions());
         writer = new OrderedReplyWriter(loop, clock, sessions, requests, counters, overLimitReply);
         admission = new CommandAdmission(broker, clock, settings, sessions, requests, writer, overLimitReply);
         sweeper = new IdleSweeper(loop, clock, codec, sessions, writer);
@@ -80,7 +82,7 @@
         listener = transport.bind(address, codec, new Receiver());
         acceptLimiter.attach(listener);
         LOG.info("listening on {}", listener.getLocalAddress());
-        sweeper.schedule();
+        sweeper.start(new SelectorLagMonitor(listener));
     }
 
     /**
@@ -154,6 +156,7 @@
         session.idleSinceMicros = clock.now();
         if (!sessions.add(session)) {
             counters.countRejected();
+            session.recordCloseReason(CloseReason.TOO_MANY_CONNECTIONS);
             writer.closeAfterReply(
                     session,
                     new ClientReply.ConnectionError(ClientReply.Cause.TOO_MANY_CONNECTIONS, "too many connections"));
--- a/src/main/java/crankwick/client/ClientSession.java
+++ b/src/main/java/crankwick/client/ClientSession.java
@@ -96,10 +96,13 @@
     private boolean writeBlocked;
 
     private long messagesRead;
+    private long messagesReadAtReport;
     /** The number of the last cancel that was read, which cancels all messages before it; 0 if there was none. */
     private long lastCancelledMessage;
 
     private boolean closed;
+    /** Why the proxy ends the connection; null unless it does. */
+    private CloseReason closeReason;
 
     ClientSession(
             Connection<SocketAddress> connection,
@@ -262,16 +265,42 @@
      * check and the close. If a message is unanswered, or one is partly received and {@link #stopReading} has not been
      * called, the connection stays open and {@code whenBusy} runs.
      */
-    void closeUnlessBusy(CodecFilter codec, Runnable whenBusy) {
+    void closeUnlessBusy(CodecFilter codec, CloseReason reason, Runnable whenBusy) {
         Transport.afterPendingReads(connection, () -> {
             if (hasUnansweredMessage() || !isReadingStopped() && codec.hasIncompleteMessage(connection)) {
                 whenBusy.run();
             } else {
+                recordCloseReason(reason);
                 connection.terminateSilently();
             }
         });
     }
 
+    /** Records why the proxy is about to end the connection; the first reason counts. */
+    synchronized void recordCloseReason(CloseReason reason) {
+        closeReason = closeReason == null && !closed ? reason : closeReason;
+    }
+
+    synchronized CloseReason closeReason() {
+        return closeReason == null ? CloseReason.CLIENT_CLOSED : closeReason;
+    }
+
+    /** The number of messages of every kind that have been read. */
+    synchronized long messagesRead() {
+        return messagesRead;
+    }
+
+    /** The number of messages read since the last call. */
+    synchronized long takeMessagesReadSinceReport() {
+        long messages = messagesRead - messagesReadAtReport;
+        messagesReadAtReport = messagesRead;
+        return messages;
+    }
+
+    synchronized int undeliveredMessages() {
+        return undeliveredMessages;
+    }
+
     private synchronized boolean isReadingStopped() {
         return readingStopped;
     }
--- a/src/main/java/crankwick/client/CommandAdmission.java
+++ b/src/main/java/crankwick/client/CommandAdmission.java
@@ -96,8 +96,9 @@
                     "client {}: protocol error, closing the connection: {}",
                     session.connection.getPeerAddress(),
                     error.fault());
-            writer.closeWithError(session, ClientReply.Cause.PROTOCOL_ERROR, error.fault());
+            writer.closeWithError(session, CloseReason.PROTOCOL_ERROR, ClientReply.Cause.PROTOCOL_ERROR, error.fault());
         } else {
+            session.recordCloseReason(CloseReason.CLIENT_TERMINATED);
             session.closing = true;
             session.onAnswered(message, 1);
             writer.flush(session);
@@ -114,7 +115,7 @@
             ClientCommand command = new ClientCommand(session, requests.nextId(), null, login, number, readAt);
             add(command, new ClientReply.LoginAccepted());
         } else {
-            writer.closeWithError(session, ClientReply.Cause.UNKNOWN_TEAM, "unknown team");
+            writer.closeWithError(session, CloseReason.UNKNOWN_TEAM, ClientReply.Cause.UNKNOWN_TEAM, "unknown team");
         }
     }
 
--- a/src/main/java/crankwick/client/IdleSweeper.java
+++ b/src/main/java/crankwick/client/IdleSweeper.java
@@ -3,6 +3,8 @@
 import crankwick.transport.Clock;
 import crankwick.transport.CodecFilter;
 import crankwick.transport.EventLoop;
+import crankwick.transport.SelectorLagMonitor;
+import java.util.List;
 
 /**
  * Periodically closes sessions whose clients do not send a command, complete a partly sent command or read replies in
@@ -29,6 +31,8 @@
     private final CodecFilter codec;
     private final SessionTable sessions;
     private final OrderedReplyWriter writer;
+    private final BusiestClientReporter busiestClient = new BusiestClientReporter();
+    private SelectorLagMonitor selectorLag;
 
     IdleSweeper(EventLoop loop, Clock clock, CodecFilter codec, SessionTable sessions, OrderedReplyWriter writer) {
         this.loop = loop;
@@ -38,22 +42,31 @@
         this.writer = writer;
     }
 
-    /** Schedules the first or next sweep; each sweep schedules the one after it. */
-    void schedule() {
+    /** Schedules the first sweep; each sweep schedules the next one, and measures the delay of the selector thread. */
+    void start(SelectorLagMonitor selectorLagMonitor) {
+        selectorLag = selectorLagMonitor;
+        schedule();
+    }
+
+    private void schedule() {
         loop.schedule(SWEEP_INTERVAL_MICROS, this::sweep);
     }
 
     private void sweep() {
         long now = clock.now();
         long idleTimeout = sessions.isOverHalfFull() ? REDUCED_IDLE_TIMEOUT_MICROS : IDLE_TIMEOUT_MICROS;
-        for (ClientSession session : sessions.snapshot()) {
+        List<ClientSession> snapshot = sessions.snapshot();
+        for (ClientSession session : snapshot) {
             check(session, now, idleTimeout);
         }
+        busiestClient.report(snapshot, now);
+        selectorLag.measure();
         schedule();
     }
 
     private void check(ClientSession session, long now, long idleTimeout) {
         if (isOverdue(session, now)) {
+            session.recordCloseReason(CloseReason.UNREAD_REPLIES);
             session.connection.terminateSilently();
         } else if (!session.closing && codec.isStalled(session.connection, COMMAND_STALL_TIMEOUT_MICROS)) {
             codec.runIfStillStalled(
@@ -71,17 +84,22 @@
 
     private void closeStalled(ClientSession session) {
         if (!session.closing && sessions.contains(session)) {
-            writer.closeWithError(session, ClientReply.Cause.PROTOCOL_ERROR, "a command without its end");
+            writer.closeWithError(
+                    session,
+                    CloseReason.INCOMPLETE_COMMAND,
+                    ClientReply.Cause.PROTOCOL_ERROR,
+                    "a command without its end");
         }
     }
 
     private void closeIfIdleTooLong(ClientSession session, long now, long idleTimeout) {
         if (writer.isShuttingDown() || session.hasSentCommand && session.idleSinceMicros < now - idleTimeout) {
-            sessions.closeUnlessBusy(session);
+            sessions.closeUnlessBusy(session, writer.isShuttingDown() ? CloseReason.SHUTDOWN : CloseReason.IDLE);
         } else if (!session.hasSentCommand
                 && session.idleSinceMicros < now - FIRST_COMMAND_TIMEOUT_MICROS
                 && !session.hasUnansweredMessage()) {
-            writer.closeWithError(session, ClientReply.Cause.PROTOCOL_ERROR, "no command in time");
+            writer.closeWithError(
+                    session, CloseReason.NO_COMMAND, ClientReply.Cause.PROTOCOL_ERROR, "no command in time");
         }
     }
 }
--- a/src/main/java/crankwick/client/OrderedReplyWriter.java
+++ b/src/main/java/crankwick/client/OrderedReplyWriter.java
@@ -64,7 +64,7 @@
             session.lingerUntilMicros = clock.now() + LINGER_MICROS;
             session.connection.closeSilently();
         } else if (shuttingDown && session.isIdle()) {
-            sessions.closeUnlessBusy(session);
+            sessions.closeUnlessBusy(session, CloseReason.SHUTDOWN);
         }
     }
 
@@ -90,8 +90,9 @@
     }
 
     /** Closes a session with an error, which is sent after the replies to earlier commands. */
-    void closeWithError(ClientSession session, ClientReply.Cause cause, String fault) {
+    void closeWithError(ClientSession session, CloseReason reason, ClientReply.Cause cause, String fault) {
         counters.countProtocolError();
+        session.recordCloseReason(reason);
         session.closing = true;
         ClientCommand error = new ClientCommand(session, requests.nextId(), null, null, 0, 0);
         error.reply = new ClientReply.ConnectionError(cause, fault);
@@ -164,6 +165,7 @@
 
         @Override
         public void failed(Throwable fault) {
+            session.recordCloseReason(CloseReason.WRITE_FAILED);
             // The transport fails writes beyond its limit when the client does not read. Closing the connection keeps
             // its unwritten replies from accumulating.
             session.connection.terminateSilently();
--- a/src/main/java/crankwick/client/SessionTable.java
+++ b/src/main/java/crankwick/client/SessionTable.java
@@ -16,16 +16,24 @@
     private final CodecFilter codec;
     private final OpenRequests requests;
     private final ClientCounters counters;
+    private final CloseLog closeLog;
     private final int maxSessions;
     private final Set<ClientSession> sessions = new LinkedHashSet<>();
     /** The number of sessions with {@link ClientSession#closePending} set. */
     private int pendingCloses;
 
-    SessionTable(EventLoop loop, CodecFilter codec, OpenRequests requests, ClientCounters counters, int maxSessions) {
+    SessionTable(
+            EventLoop loop,
+            CodecFilter codec,
+            OpenRequests requests,
+            ClientCounters counters,
+            CloseLog closeLog,
+            int maxSessions) {
         this.loop = loop;
         this.codec = codec;
         this.requests = requests;
         this.counters = counters;
+        this.closeLog = closeLog;
         this.maxSessions = maxSessions;
     }
 
@@ -76,7 +84,7 @@
             candidate.connection.terminateSilently();
             onClosed(candidate);
         } else {
-            closeUnlessBusy(candidate);
+            closeUnlessBusy(candidate, CloseReason.EVICTED);
         }
         return true;
     }
@@ -85,13 +93,13 @@
      * Closes an idle session after its pending input is read. If that input has a message, even an incomplete one, the
      * session stays open, and another one is evicted if the limit is exceeded.
      */
-    void closeUnlessBusy(ClientSession session) {
+    void closeUnlessBusy(ClientSession session, CloseReason reason) {
         if (session.closePending) {
             return;
         }
         session.closePending = true;
         pendingCloses++;
-        session.closeUnlessBusy(codec, () -> loop.execute(() -> onStillBusy(session)));
+        session.closeUnlessBusy(codec, reason, () -> loop.execute(() -> onStillBusy(session)));
     }
 
     private void onStillBusy(ClientSession session) {
@@ -112,6 +120,7 @@
     void onClosed(ClientSession session) {
         clearPendingClose(session);
         if (sessions.remove(session)) {
+            closeLog.record(session, session.commands.size());
             if (!session.commands.isEmpty()) {
                 counters.countClosedUnanswered();
             }
--- a/src/main/java/crankwick/routing/OpenRequests.java
+++ b/src/main/java/crankwick/routing/OpenRequests.java
@@ -3,6 +3,7 @@
 import static crankwick.routing.TimeUnits.MICROS_PER_MILLI;
 
 import crankwick.routing.api.AttemptResult;
+import crankwick.routing.api.GiveUpCause;
 import crankwick.routing.api.RoutingActions;
 import crankwick.routing.api.RoutingLimits;
 import java.util.HashMap;
@@ -57,12 +58,13 @@
         if (retryPolicy.tryAcquireRetry(request, result, now)) {
             enqueue(request);
         } else {
-            rejectOrFail(request, actions);
+            rejectOrFail(request, GiveUpCause.NO_RETRY, actions);
         }
     }
 
     /** Rejects the request if the client can safely retry it, otherwise fails it. */
-    void rejectOrFail(PendingRequest request, RoutingActions actions) {
+    void rejectOrFail(PendingRequest request, GiveUpCause cause, RoutingActions actions) {
+        actions.explainGiveUp(request.id(), cause);
         if (retryPolicy.isSafeToReject(request)) {
             long retryAfter = Math.min(limits.maxRetryAfter(), Jitter.apply(retryAfter(request), random));
             actions.reject(request.id(), limits.retryAfterSupported() ? retryAfter : 0);
--- a/src/main/java/crankwick/routing/RequestDispatcher.java
+++ b/src/main/java/crankwick/routing/RequestDispatcher.java
@@ -2,6 +2,7 @@
 
 import static crankwick.routing.TimeUnits.MICROS_PER_MILLI;
 
+import crankwick.routing.api.GiveUpCause;
 import crankwick.routing.api.RoutingActions;
 import java.util.Iterator;
 import java.util.List;
@@ -57,9 +58,12 @@
             PendingRequest request = queue.next();
             if (request.isClosed()) {
                 queue.remove();
-            } else if (loadShedder.isTooLateToSend(request, now) || !group.hasAvailableEndpoint()) {
+            } else if (loadShedder.isTooLateToSend(request, now)) {
                 queue.remove();
-                openRequests.rejectOrFail(request, actions);
+                openRequests.rejectOrFail(request, GiveUpCause.TOO_LATE, actions);
+            } else if (!group.hasAvailableEndpoint()) {
+                queue.remove();
+                openRequests.rejectOrFail(request, GiveUpCause.NO_ENDPOINT, actions);
             } else if (!blocked && meetingObjective == loadShedder.canMeetObjective(request, now)) {
                 EndpointState endpoint = selector.select(request, now);
                 if (endpoint != null) {
--- a/src/main/java/crankwick/routing/api/RoutingActions.java
+++ b/src/main/java/crankwick/routing/api/RoutingActions.java
@@ -13,6 +13,9 @@
     /** Answers the request as failed; whether it took effect is unknown. */
     void fail(long requestId);
 
+    /** States why the next action on the request, {@link #reject} or {@link #fail}, is taken. */
+    default void explainGiveUp(long requestId, GiveUpCause cause) {}
+
     /** Requests a load report from an endpoint; a {@link HealthCheckResult} must follow. */
     void checkHealth(String endpointId);
 
--- a/src/main/java/crankwick/transport/EventLoop.java
+++ b/src/main/java/crankwick/transport/EventLoop.java
@@ -16,23 +16,10 @@
 public final class EventLoop implements AutoCloseable {
     private static final Logger LOG = LoggerFactory.getLogger(EventLoop.class);
     private static final long NANOS_PER_MICRO = 1_000;
-    private static final long NANOS_PER_MILLI = 1_000_000;
-    /** A timer that fires later than this after its due time counts as late. */
-    private static final long LAG_LOG_THRESHOLD_NANOS = 30 * NANOS_PER_MILLI;
-    /**
-     * The minimum time between two log lines about late timers, because logging each late timer would add to the lag.
-     */
-    private static final long LAG_LOG_INTERVAL_NANOS = 1_000 * NANOS_PER_MILLI;
 
     private final ScheduledThreadPoolExecutor executor;
-    /**
-     * The largest lag of a timer since the last log line; reset together with {@link #lateTimers} when the lag is
-     * logged, at {@link #lagLoggedAtNanos}.
-     */
-    private long maxLagNanos;
-
-    private int lateTimers;
-    private long lagLoggedAtNanos = System.nanoTime() - LAG_LOG_INTERVAL_NANOS;
+    private final LagReporter lag = new LagReporter(
+            EventLoop.class, "event loop up to {} ms late; {} timers fired over 30 ms late since the last report");
 
     /** Starts the thread. */
     public EventLoop(String name) {
@@ -56,8 +43,7 @@
         long dueNanos = System.nanoTime() + delayMicros * NANOS_PER_MICRO;
         var future = executor.schedule(
                 guarded(() -> {
-                    long nowNanos = System.nanoTime();
-                    recordLag(nowNanos - dueNanos, nowNanos);
+                    lag.record(dueNanos);
                     task.run();
                 }),
                 Math.max(0, delayMicros),
@@ -65,22 +51,6 @@
         return () -> future.cancel(false);
     }
 
-    private void recordLag(long lagNanos, long nowNanos) {
-        if (lagNanos > LAG_LOG_THRESHOLD_NANOS) {
-            lateTimers++;
-            maxLagNanos = Math.max(maxLagNanos, lagNanos);
-        }
-        if (lateTimers > 0 && nowNanos - lagLoggedAtNanos >= LAG_LOG_INTERVAL_NANOS) {
-            LOG.warn(
-                    "event loop up to {} ms late; {} timers fired over 30 ms late since the last report",
-                    maxLagNanos / NANOS_PER_MILLI,
-                    lateTimers);
-            lateTimers = 0;
-            maxLagNanos = 0;
-            lagLoggedAtNanos = nowNanos;
-        }
-    }
-
     /**
      * Catches and logs the runtime exceptions of a task: a failed task must not stop the loop, as other requests still
      * need replies.
