--- a/src/test/java/crankwick/app/Deployment.java
+++ b/src/test/java/crankwick/app/Deployment.java
@@ -98,6 +98,25 @@
      */
     Deployment(TestWireClient wire, String originalText, String replacementText)
             throws IOException, InterruptedException {
+        this(wire, originalText, replacementText, List.of(), "-Xmx64m");
+    }
+
+    /** Starts the program on one core and with the heap that the deploy file gives it. */
+    static Deployment onOneCore(TestWireClient wire) throws IOException, InterruptedException {
+        return new Deployment(wire, "", "", List.of("taskset", "-c", lastAllowedCore()), "-Xmx48m");
+    }
+
+    private static String lastAllowedCore() throws IOException {
+        return Files.readAllLines(Path.of("/proc/self/status")).stream()
+                .filter(line -> line.startsWith("Cpus_allowed_list:"))
+                .map(line -> line.replaceAll(".*[^0-9]", ""))
+                .findAny()
+                .orElseThrow();
+    }
+
+    private Deployment(
+            TestWireClient wire, String originalText, String replacementText, List<String> launcher, String heap)
+            throws IOException, InterruptedException {
         this.wire = wire;
         this.originalText = originalText;
         this.replacementText = replacementText;
@@ -110,7 +129,7 @@
         writeZone();
         boolean pg = wire instanceof PgTestClient;
         Files.writeString(config, pg ? platformConfig() : operatorFile());
-        process = start(pg ? config : null, pg ? null : config);
+        process = start(pg ? config : null, pg ? null : config, launcher, heap);
         port = awaitPort();
         client().close();
     }
@@ -139,11 +158,13 @@
 
     /** Starts the built program; either configuration may be null. */
     static Process start(Path platform, Path operator) throws IOException {
-        List<String> command = new ArrayList<>(List.of(
-                Path.of(System.getProperty("java.home"), "bin", "java").toString(),
-                "-XX:+UseSerialGC",
-                "-XX:TieredStopAtLevel=1",
-                "-Xmx64m"));
+        return start(platform, operator, List.of(), "-Xmx64m");
+    }
+
+    private static Process start(Path platform, Path operator, List<String> launcher, String heap) throws IOException {
+        List<String> command = new ArrayList<>(launcher);
+        command.add(Path.of(System.getProperty("java.home"), "bin", "java").toString());
+        command.addAll(List.of("-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", heap));
         command.addAll(List.of(System.getProperty("crankwick.jvm", "").split(" ")));
         command.removeIf(String::isEmpty);
         command.addAll(List.of("-jar", "target/crankwick.jar", "serve"));
--- /dev/null
+++ b/src/test/java/crankwick/app/PacedClient.java
@@ -0,0 +1,80 @@
+package crankwick.app;
+
+import java.io.IOException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+
+/** A client that sends a read at a time, with a pause after each, and measures when the answers arrive. */
+final class PacedClient implements AutoCloseable {
+    private static final int DEADLINE_MILLIS = 235;
+    private static final int PAUSE_MILLIS = 20;
+    /** Up to this long after its due time an answer is not lost (the operators' rule). */
+    static final int LOST_AFTER_MILLIS = 500;
+    /** Up to this long after its due time an answer is in time: the settings' slack, and that of sockets. */
+    static final int IN_TIME_MILLIS = 70;
+
+    private final Deployment deployment;
+    private final AtomicInteger ids;
+    private final Thread thread = new Thread(this::run, "paced client");
+    private volatile boolean stopped;
+    volatile int answers;
+    volatile int served;
+    volatile int late;
+    volatile int lost;
+    volatile long maxMillis;
+
+    PacedClient(Deployment deployment, AtomicInteger ids) {
+        this.deployment = deployment;
+        this.ids = ids;
+        thread.start();
+    }
+
+    private void run() {
+        Deployment.Client client = null;
+        while (!stopped) {
+            try {
+                client = client == null ? deployment.client() : client;
+                client = sendRead(client) ? client : null;
+                Thread.sleep(PAUSE_MILLIS);
+            } catch (IOException e) {
+                lost++;
+                client = null;
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+        }
+    }
+
+    /** Returns false if the proxy has closed the connection, which it may do between requests. */
+    private boolean sendRead(Deployment.Client client) throws IOException {
+        int id = ids.incrementAndGet();
+        client.socket.setSoTimeout(DEADLINE_MILLIS + 10 * LOST_AFTER_MILLIS);
+        long sentAt = System.nanoTime();
+        client.send("/* id=" + id + ",c=map-view,d=" + DEADLINE_MILLIS
+                + ",cluster=0 */ SELECT val FROM state WHERE uid = '7f3a9c21e0b4d655'");
+        TestWireClient.Answer answer = client.readAnswer();
+        long millis = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - sentAt);
+        answers++;
+        served += answer.kind().equals("SERVED") ? 1 : 0;
+        late += millis > DEADLINE_MILLIS + IN_TIME_MILLIS ? 1 : 0;
+        lost += millis > DEADLINE_MILLIS + LOST_AFTER_MILLIS || answer.kind().equals("CLOSED") ? 1 : 0;
+        maxMillis = Math.max(maxMillis, millis);
+        return !answer.kind().equals("CLOSED");
+    }
+
+    @Override
+    public String toString() {
+        return answers + " answers, " + served + " served, " + late + " late, " + lost + " lost, slowest " + maxMillis
+                + " ms";
+    }
+
+    @Override
+    public void close() {
+        stopped = true;
+        try {
+            thread.join();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+}
--- a/src/test/java/crankwick/app/PgTestClient.java
+++ b/src/test/java/crankwick/app/PgTestClient.java
@@ -172,6 +172,16 @@
         };
     }
 
+    @Override
+    public byte[] negotiation() {
+        return message((char) 0, "\4\322\26\57");
+    }
+
+    @Override
+    public byte[] cancel() {
+        return message('X', "");
+    }
+
     @Override
     public byte[][] invalidInputs() {
         return new byte[][] {
--- a/src/test/java/crankwick/app/TdsTestClient.java
+++ b/src/test/java/crankwick/app/TdsTestClient.java
@@ -118,7 +118,7 @@
     }
 
     void sendAttention(Socket socket) throws IOException {
-        socket.getOutputStream().write(packets(6, new byte[0]));
+        socket.getOutputStream().write(cancel());
     }
 
     @Override
@@ -262,6 +262,16 @@
         };
     }
 
+    @Override
+    public byte[] negotiation() {
+        return packets(0x12, PRELOGIN);
+    }
+
+    @Override
+    public byte[] cancel() {
+        return packets(6, new byte[0]);
+    }
+
     @Override
     public byte[][] invalidInputs() {
         return new byte[][] {
--- a/src/test/java/crankwick/app/TestWireClient.java
+++ b/src/test/java/crankwick/app/TestWireClient.java
@@ -51,6 +51,12 @@
     /** Malformed variants of a reply with a value; the proxy must not serve a value from any of them. */
     byte[][] malformedReplies(DatabaseReply databaseReply);
 
+    /** A message with which a client negotiates before its login; the proxy answers it at once. */
+    byte[] negotiation();
+
+    /** A message that cancels the connection's commands; where the protocol has none, the one that ends it. */
+    byte[] cancel();
+
     /** Inputs that violate the protocol. */
     byte[][] invalidInputs();
 }
