Process clients' messages in turns, so that one's backlog does not delay the others

Callers saw: answers late or never while other clients sent empty statements (or any other small message) at full speed.

Cause: each read of a connection, up to 16 KB or 2,730 empty statements, was one task of the event loop, and tasks run in the order of reading. With six such clients a quiet client's message waited for up to 6 times 4,096 messages of others, and so did the databases' responses and the timers.

Reproduced: 13 of the 15 red cases of FullSpeedClientsIT on one core.

Why this works: a session's messages wait in its own inbox. The sessions take turns of at most 16 messages or 0.2 ms; one that had no backlog goes first; after 1 ms the loop's other tasks run. So the delay depends on the number of clients that send, not on how much they send. Messages of a closed connection are dropped at once instead of being parsed and routed.

Measured with FullSpeedClientsIT: the 16 cases other than NEGOTIATIONS pass, no answer late or lost, slowest 34 to 233 ms (before: 365 of the 1,630 answers of the 13 red cases late, 15 lost, slowest 927 ms).

ConnectionRaceTest.closeBehindManyUnansweredCommandsIsDetected failed at first with 169 of 200 requests: it took for granted that a task queued behind 200 messages runs after all of them. It now waits for the 200; its check after the close is unchanged. ConnectionRaceTest, ClientsIT, ClientDisconnectIT, OpenCommandsIT and ClientListenerIT pass.

--- a/src/main/java/crankwick/client/BusiestClientReporter.java
+++ b/src/main/java/crankwick/client/BusiestClientReporter.java
@@ -23,7 +23,7 @@
         long mostMessages = HIGH_MESSAGE_RATE;
         int busyClients = 0;
         for (ClientSession session : sessions) {
-            long messages = session.takeMessagesReadSinceReport();
+            long messages = session.inbox.takeMessagesReadSinceReport();
             busyClients += messages > HIGH_MESSAGE_RATE ? 1 : 0;
             if (messages > mostMessages) {
                 busiest = session;
@@ -35,7 +35,7 @@
                     "client {} sent {} messages in the last second, {} are unprocessed; {} clients sent over {}",
                     busiest.connection.getPeerAddress(),
                     mostMessages,
-                    busiest.undeliveredMessages(),
+                    busiest.inbox.unprocessed(),
                     busyClients,
                     HIGH_MESSAGE_RATE);
         }
--- a/src/main/java/crankwick/client/ClientListener.java
+++ b/src/main/java/crankwick/client/ClientListener.java
@@ -54,6 +54,7 @@
     private final OrderedReplyWriter writer;
     private final CommandAdmission admission;
     private final IdleSweeper sweeper;
+    private final MessageScheduler scheduler;
     private volatile TCPNIOServerConnection listener;
 
     /** Creates a listener for the protocol that {@code codec} implements. */
@@ -70,6 +71,7 @@
         writer = new OrderedReplyWriter(loop, clock, sessions, requests, counters, overLimitReply);
         admission = new CommandAdmission(broker, clock, settings, sessions, requests, writer, overLimitReply);
         sweeper = new IdleSweeper(loop, clock, codec, sessions, writer);
+        scheduler = new MessageScheduler(loop, new SessionMessageHandler());
     }
 
     private static Reply overLimitReply(RoutingLimits limits) {
@@ -116,7 +118,7 @@
     private void stopReading() {
         requests.expireAll();
         for (ClientSession session : sessions.snapshot()) {
-            session.stopReading();
+            session.inbox.stopReading();
             writer.flush(session);
         }
     }
@@ -163,9 +165,21 @@
         }
     }
 
-    private void onMessages(ClientSession session, List<ClientMessage> messages, long readAt) {
-        for (ClientMessage message : messages) {
-            admission.onMessage(session, message, readAt);
+    private void onClosed(ClientSession session) {
+        session.register();
+        sessions.onClosed(session);
+    }
+
+    /** Passes the messages of sessions on, each session after its registration. */
+    private final class SessionMessageHandler implements MessageScheduler.Handler {
+        @Override
+        public void onAccepted(ClientSession session) {
+            ClientListener.this.onAccepted(session);
+        }
+
+        @Override
+        public void onMessage(ClientSession session, ReceivedMessage received) {
+            admission.onMessage(session, received);
         }
     }
 
@@ -181,7 +195,7 @@
             counters.countAccepted();
             sessionOfConnection.set(connection, session);
             acceptLimiter.onAccepted();
-            loop.execute(() -> onAccepted(session));
+            scheduler.schedule(session);
             return context.getStopAction();
         }
 
@@ -189,9 +203,8 @@
         public NextAction handleRead(FilterChainContext context) {
             ClientSession session = sessionOfConnection.peek(Transport.connection(context));
             List<ClientMessage> messages = context.getMessage();
-            long readAt = clock.now();
-            List<ClientMessage> admitted = session.onMessagesRead(messages);
-            loop.execute(() -> onMessages(session, admitted, readAt));
+            session.onMessagesRead(messages, clock.now());
+            scheduler.schedule(session);
             return context.getStopAction();
         }
 
@@ -201,7 +214,7 @@
             if (session != null) {
                 session.onClosed();
                 acceptLimiter.onClosed();
-                loop.execute(() -> sessions.onClosed(session));
+                loop.execute(() -> onClosed(session));
             }
             return context.getStopAction();
         }
--- a/src/main/java/crankwick/client/ClientSession.java
+++ b/src/main/java/crankwick/client/ClientSession.java
@@ -4,35 +4,20 @@
 import crankwick.transport.Transport;
 import java.net.SocketAddress;
 import java.util.ArrayDeque;
-import java.util.ArrayList;
 import java.util.Deque;
 import java.util.List;
 import org.glassfish.grizzly.Connection;
-import org.glassfish.grizzly.IOEvent;
-import org.slf4j.Logger;
-import org.slf4j.LoggerFactory;
 
 /**
  * One client connection. The non-private fields belong to the event loop; state that the loop shares with the selector
  * thread is accessed through synchronized methods.
  *
  * <p>Reading does not stop at the limits on a client's open commands, because a close or a cancel is detected only by
- * reading. Commands over these limits are read as {@link ClientMessage.OverLimit}, without their text. Reading pauses
- * only at {@link #MAX_UNDELIVERED_MESSAGES}.
+ * reading. Commands over these limits are read as {@link ClientMessage.OverLimit}, without their text.
  */
 final class ClientSession {
-    private static final Logger LOG = LoggerFactory.getLogger(ClientSession.class);
-    private static final long NANOS_PER_MILLI = 1_000_000;
-    /** Read pauses longer than this are logged, because a close by the client is not detected during a pause. */
-    private static final long LONG_READ_PAUSE_MILLIS = 50;
-
     private static final int MAX_OPEN_COMMANDS = 1_024;
     private static final long MAX_OPEN_STATEMENT_BYTES = 1 << 20;
-    /**
-     * Reading pauses when this many messages have been read that the event loop has not processed; it resumes when at
-     * most half as many are left.
-     */
-    private static final int MAX_UNDELIVERED_MESSAGES = 4_096;
     /**
      * No further reply is written while this many bytes of earlier replies, or more, are unwritten. {@link #onWritten}
      * reports when at most half as many are left.
@@ -40,6 +25,7 @@
     private static final long MAX_UNWRITTEN_BYTES = 256 * 1_024;
 
     final Connection<SocketAddress> connection;
+    final MessageInbox inbox;
     /** Commands whose replies are not handed to the transport yet, in the order in which the replies are sent. */
     final Deque<ClientCommand> commands = new ArrayDeque<>();
 
@@ -64,8 +50,6 @@
     /** The end of the linger period, after which the connection is terminated; 0 if the session is not lingering. */
     long lingerUntilMicros;
 
-    private long messagesDelivered;
-
     private final ByteBudget statementBudget;
     private final ByteBudget replyBudget;
     private final ClientCounters counters;
@@ -82,10 +66,9 @@
      */
     private long replyBytes;
 
-    private int undeliveredMessages;
-    private boolean readPaused;
-    private long readPausedAtNanos;
-    private boolean readingStopped;
+    /** Whether the event loop knows the session, or need not know it because it has closed. */
+    private boolean registered;
+
     private int unwrittenReplies;
     private long unwrittenBytes;
     private long unwrittenSinceMicros;
@@ -95,8 +78,6 @@
      */
     private boolean writeBlocked;
 
-    private long messagesRead;
-    private long messagesReadAtReport;
     /** The number of the last cancel that was read, which cancels all messages before it; 0 if there was none. */
     private long lastCancelledMessage;
 
@@ -110,33 +91,33 @@
             ByteBudget replyBudget,
             ClientCounters counters) {
         this.connection = connection;
+        inbox = new MessageInbox(connection, counters);
         this.statementBudget = statementBudget;
         this.replyBudget = replyBudget;
         this.counters = counters;
     }
 
     /**
-     * Counts messages that have been read and pauses reading if too many are unprocessed. Returns the messages to pass
-     * to the event loop, with commands over the limits replaced by {@link ClientMessage.OverLimit}. Called on the
+     * Queues messages that were read at {@code readAt}, in microseconds of Unix time, with commands over the limits
+     * replaced by {@link ClientMessage.OverLimit}, and pauses reading if too many are unprocessed. Called on the
      * selector thread.
      */
-    synchronized List<ClientMessage> onMessagesRead(List<ClientMessage> messages) {
-        List<ClientMessage> admitted = new ArrayList<>(messages.size());
+    synchronized void onMessagesRead(List<ClientMessage> messages, long readAt) {
         for (ClientMessage message : messages) {
-            messagesRead++;
+            long number = inbox.add(admit(message), readAt);
             if (message instanceof ClientMessage.Cancel) {
-                lastCancelledMessage = messagesRead;
+                lastCancelledMessage = number;
             }
-            admitted.add(admit(message));
         }
         unansweredMessages += messages.size();
-        undeliveredMessages += messages.size();
-        if (!readPaused && undeliveredMessages >= MAX_UNDELIVERED_MESSAGES) {
-            readPaused = true;
-            readPausedAtNanos = System.nanoTime();
-            setReading(false);
-        }
-        return admitted;
+        inbox.pauseReadingIfFull();
+    }
+
+    /** Marks the session as registered on the event loop; false if it already was. */
+    boolean register() {
+        boolean first = !registered;
+        registered = true;
+        return first;
     }
 
     private ClientMessage admit(ClientMessage message) {
@@ -156,20 +137,6 @@
         return message;
     }
 
-    /**
-     * Called when the event loop processes a message; returns the number of the message on its connection, from 1. May
-     * resume reading.
-     */
-    synchronized long onMessageDelivered() {
-        undeliveredMessages--;
-        if (readPaused && undeliveredMessages <= MAX_UNDELIVERED_MESSAGES / 2) {
-            readPaused = false;
-            onReadResumed();
-            setReading(!readingStopped);
-        }
-        return ++messagesDelivered;
-    }
-
     /**
      * Records that {@code count} consecutive messages are answered: their replies are written, or they get none. The
      * count exceeds 1 only for commands over the limits, which share a queue entry.
@@ -220,33 +187,13 @@
         replyBudget.release(reserved);
     }
 
-    private void onReadResumed() {
-        long millis = (System.nanoTime() - readPausedAtNanos) / NANOS_PER_MILLI;
-        counters.countReadPause(millis);
-        if (millis > LONG_READ_PAUSE_MILLIS) {
-            LOG.info(
-                    "client {}: resumed reading after {} ms (paused at the limit on unprocessed messages)",
-                    connection.getPeerAddress(),
-                    millis);
-        }
-    }
-
-    /** Stops reading for good; commands that have been read are still answered. */
-    synchronized void stopReading() {
-        readingStopped = true;
-        setReading(false);
-    }
-
-    private void setReading(boolean enabled) {
-        Transport.setInterest(connection, IOEvent.READ, enabled);
-    }
-
     /**
-     * Called on the selector thread when the connection has been closed, by the client or by the proxy; releases its
-     * reserved bytes.
+     * Called on the selector thread when the connection has been closed, by the client or by the proxy; drops its
+     * unprocessed messages and releases its reserved bytes.
      */
     synchronized void onClosed() {
         closed = true;
+        inbox.close();
         releaseStatement(openStatementBytes);
         releaseReply(replyBytes);
     }
@@ -262,12 +209,12 @@
 
     /**
      * Closes the connection on the selector thread after pending input is read, so that nothing is read between the
-     * check and the close. If a message is unanswered, or one is partly received and {@link #stopReading} has not been
-     * called, the connection stays open and {@code whenBusy} runs.
+     * check and the close. If a message is unanswered, or one is partly received and {@link MessageInbox#stopReading}
+     * has not been called, the connection stays open and {@code whenBusy} runs.
      */
     void closeUnlessBusy(CodecFilter codec, CloseReason reason, Runnable whenBusy) {
         Transport.afterPendingReads(connection, () -> {
-            if (hasUnansweredMessage() || !isReadingStopped() && codec.hasIncompleteMessage(connection)) {
+            if (hasUnansweredMessage() || !inbox.isReadingStopped() && codec.hasIncompleteMessage(connection)) {
                 whenBusy.run();
             } else {
                 recordCloseReason(reason);
@@ -285,26 +232,6 @@
         return closeReason == null ? CloseReason.CLIENT_CLOSED : closeReason;
     }
 
-    /** The number of messages of every kind that have been read. */
-    synchronized long messagesRead() {
-        return messagesRead;
-    }
-
-    /** The number of messages read since the last call. */
-    synchronized long takeMessagesReadSinceReport() {
-        long messages = messagesRead - messagesReadAtReport;
-        messagesReadAtReport = messagesRead;
-        return messages;
-    }
-
-    synchronized int undeliveredMessages() {
-        return undeliveredMessages;
-    }
-
-    private synchronized boolean isReadingStopped() {
-        return readingStopped;
-    }
-
     /**
      * True if another reply may be written now. If false, {@link #onWritten} later returns true when writing may
      * resume.
--- a/src/main/java/crankwick/client/CloseLog.java
+++ b/src/main/java/crankwick/client/CloseLog.java
@@ -27,7 +27,7 @@
                     "client {} closed: {}; {} messages read, {} commands open{}",
                     session.connection.getPeerAddress(),
                     reason,
-                    session.messagesRead(),
+                    session.inbox.messagesRead(),
                     openCommands,
                     rateLimit.takeOmitted());
         }
--- a/src/main/java/crankwick/client/CommandAdmission.java
+++ b/src/main/java/crankwick/client/CommandAdmission.java
@@ -72,11 +72,13 @@
         shutdownDeadlineMicros = deadlineMicros;
     }
 
-    /** Processes a message that was read at {@code readAt}, in microseconds of Unix time. */
-    void onMessage(ClientSession session, ClientMessage message, long readAt) {
-        long number = session.onMessageDelivered();
+    /** Processes a message, or several that share an entry. */
+    void onMessage(ClientSession session, ReceivedMessage received) {
+        ClientMessage message = received.message;
+        long number = session.inbox.lastMessageNumber();
+        long readAt = received.readAt;
         if (session.closing || !sessions.contains(session)) {
-            session.onAnswered(message, 1);
+            session.onAnswered(message, received.count());
         } else if (message instanceof ClientMessage.Query query) {
             session.hasSentCommand = true;
             onQuery(session, query, number, readAt);
@@ -84,7 +86,7 @@
             session.hasSentCommand = true;
             add(new ClientCommand(session, requests.nextId(), null, message, number, readAt), emptyQueryReply());
         } else if (message instanceof ClientMessage.OverLimit) {
-            onOverLimit(session, message, number, readAt);
+            onOverLimit(session, received, number);
         } else if (message instanceof ClientMessage.Login login) {
             onLogin(session, login, number, readAt);
         } else if (message instanceof ClientMessage.Cancel) {
@@ -138,13 +140,15 @@
     }
 
     /** Consecutive commands over the limits share one queue entry, so that memory use stays bounded. */
-    private void onOverLimit(ClientSession session, ClientMessage message, long number, long readAt) {
+    private void onOverLimit(ClientSession session, ReceivedMessage received, long number) {
         ClientCommand last = session.commands.peekLast();
         if (last != null && last.message instanceof ClientMessage.OverLimit) {
-            last.pendingReplies++;
+            last.pendingReplies += received.count();
             writer.flush(session);
         } else {
-            ClientCommand command = new ClientCommand(session, requests.nextId(), null, message, number, readAt);
+            ClientCommand command =
+                    new ClientCommand(session, requests.nextId(), null, received.message, number, received.readAt);
+            command.pendingReplies = received.count();
             add(command, new ClientReply.RequestReply(overLimitReply));
         }
     }
--- /dev/null
+++ b/src/main/java/crankwick/client/MessageScheduler.java
@@ -0,0 +1,102 @@
+package crankwick.client;
+
+import crankwick.transport.EventLoop;
+import java.util.ArrayDeque;
+import java.util.Queue;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.atomic.AtomicBoolean;
+
+/**
+ * Processes the messages of all sessions in turns, so that a client that sends at full speed delays only itself. A
+ * session whose messages were all processed gets its next turn before those that have a backlog. Other tasks of the
+ * event loop run between the turns.
+ */
+final class MessageScheduler {
+    private static final int MAX_MESSAGES_PER_TURN = 16;
+    /** A turn ends after the message during which this time has passed. */
+    private static final long MAX_TURN_NANOS = 200_000;
+    /** How long turns may occupy the event loop before its other tasks run. */
+    private static final long MAX_RUN_NANOS = 1_000_000;
+
+    /** Processes one entry of a session; called on the event loop. */
+    interface Handler {
+        /** Called before the first message of a session. */
+        void onAccepted(ClientSession session);
+
+        /** Called for each message, or for several that share an entry. */
+        void onMessage(ClientSession session, ReceivedMessage received);
+    }
+
+    private final EventLoop loop;
+    private final Handler handler;
+    /** Sessions whose messages have arrived since they last had none; added to by the selector thread. */
+    private final Queue<ClientSession> arrived = new ConcurrentLinkedQueue<>();
+
+    private final ArrayDeque<ClientSession> backlogged = new ArrayDeque<>();
+    /** Whether a run is queued on the event loop or in progress. */
+    private final AtomicBoolean runQueued = new AtomicBoolean();
+
+    MessageScheduler(EventLoop loop, Handler handler) {
+        this.loop = loop;
+        this.handler = handler;
+    }
+
+    /** Schedules a session that has been accepted or has unprocessed messages. Safe on any thread. */
+    void schedule(ClientSession session) {
+        if (session.inbox.markScheduled()) {
+            arrived.add(session);
+            queueRun();
+        }
+    }
+
+    private void queueRun() {
+        if (runQueued.compareAndSet(false, true)) {
+            loop.execute(this::run);
+        }
+    }
+
+    private void run() {
+        long startNanos = System.nanoTime();
+        try {
+            for (ClientSession session = next(); session != null; session = next()) {
+                takeTurn(session);
+                if (System.nanoTime() - startNanos > MAX_RUN_NANOS) {
+                    return;
+                }
+            }
+        } finally {
+            runQueued.set(false);
+            if (!backlogged.isEmpty() || !arrived.isEmpty()) {
+                queueRun();
+            }
+        }
+    }
+
+    private ClientSession next() {
+        ClientSession session = arrived.poll();
+        return session == null ? backlogged.poll() : session;
+    }
+
+    private void takeTurn(ClientSession session) {
+        long startNanos = System.nanoTime();
+        try {
+            if (session.register()) {
+                handler.onAccepted(session);
+            }
+            for (int messages = 0; messages < MAX_MESSAGES_PER_TURN; messages++) {
+                ReceivedMessage received = session.inbox.poll();
+                if (received == null) {
+                    break;
+                }
+                handler.onMessage(session, received);
+                if (System.nanoTime() - startNanos > MAX_TURN_NANOS) {
+                    break;
+                }
+            }
+        } finally {
+            if (!session.inbox.unmarkScheduledIfEmpty()) {
+                backlogged.add(session);
+            }
+        }
+    }
+}
--- a/src/test/java/crankwick/app/ConnectionRaceTest.java
+++ b/src/test/java/crankwick/app/ConnectionRaceTest.java
@@ -385,7 +385,7 @@
                 client.sendWrite(Integer.toString(i), DEADLINE_MILLIS);
             }
             proxy.awaitSelectorThread();
-            assertEquals(proxy.outstandingRequests(), 200);
+            proxy.awaitOutstandingRequests(200);
             client.close();
             proxy.awaitSelectorThread();
             assertEquals(proxy.outstandingRequests(), 0);
--- a/src/test/java/crankwick/app/PausableProxyFixture.java
+++ b/src/test/java/crankwick/app/PausableProxyFixture.java
@@ -28,7 +28,9 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
+import org.testng.Assert;
 
 /**
  * A proxy in this process with one primary. A test pauses the event loop while bytes arrive, and so determines the
@@ -129,6 +131,18 @@
         done.await();
     }
 
+    /**
+     * Waits until this many requests have no answer, and fails if that takes over 5 s. The event loop processes many
+     * messages of one client in several turns, between which it runs other tasks.
+     */
+    void awaitOutstandingRequests(long expected) throws InterruptedException {
+        long deadline = System.nanoTime() + TimeUnit.SECONDS.toNanos(5);
+        while (outstandingRequests() != expected && System.nanoTime() < deadline) {
+            Thread.sleep(1);
+        }
+        Assert.assertEquals(outstandingRequests(), expected);
+    }
+
     /** Number of requests without an answer. */
     long outstandingRequests() throws InterruptedException {
         AtomicLong count = new AtomicLong();
