Limit the messages with which a client negotiates before its login

Callers saw: answers late or never while other clients asked for TLS at full speed; on TDS the same with PRELOGIN messages.

Cause: these messages are answered by the codec itself, on the selector thread, with a write each and without a limit: 2,048 of them in one read of 16 KB. Meanwhile no other socket is read or written; the event loop is in time.

Why this works: a client may have four such messages answered on a connection, more than the protocols need; the next one is a protocol error, after which input is read and dropped. Databases' codecs write on the selector thread once per command; they are not limited.

--- a/src/main/java/crankwick/pg/PgClientCodec.java
+++ b/src/main/java/crankwick/pg/PgClientCodec.java
@@ -46,7 +46,7 @@
             int code = in.getInt();
             in.position(in.position() + length - STARTUP_HEADER_BYTES);
             if (code == SSL_REQUEST || code == GSS_REQUEST) {
-                respond(context, new byte[] {PgProtocol.ENCRYPTION_REJECTED});
+                respondToNegotiation(context, new byte[] {PgProtocol.ENCRYPTION_REJECTED});
             } else if (code == CANCEL_REQUEST) {
                 emit(new ClientMessage.Terminate());
             } else {
--- a/src/main/java/crankwick/tds/TdsClientCodec.java
+++ b/src/main/java/crankwick/tds/TdsClientCodec.java
@@ -31,7 +31,7 @@
         @Override
         protected void onMessage(int type, ByteBuffer body, FilterChainContext context) {
             if (type == TdsProtocol.PRELOGIN && !loggedIn) {
-                respond(
+                respondToNegotiation(
                         context,
                         new TdsWriter().bytes(TdsProtocol.PRELOGIN_BODY).toPackets(TdsProtocol.TABULAR_RESULT));
             } else if (type == TdsProtocol.LOGIN7 && !loggedIn) {
--- a/src/main/java/crankwick/transport/CodecFilter.java
+++ b/src/main/java/crankwick/transport/CodecFilter.java
@@ -24,6 +24,9 @@
 public abstract class CodecFilter extends BaseFilter {
     private static final long NANOS_PER_MICRO = 1_000;
     private static final int MAX_BUFFERED_HEAP_DIVISOR = 8;
+    /** More than the protocols need before a login: each answer is a write on the thread that serves all sockets. */
+    private static final int MAX_NEGOTIATION_RESPONSES = 4;
+
     /** Limits the buffered input of all connections together, as many peers may each send part of a large message. */
     private static final long MAX_BUFFERED_BYTES = Runtime.getRuntime().maxMemory() / MAX_BUFFERED_HEAP_DIVISOR;
 
@@ -40,6 +43,7 @@
         private long reservedBytes;
         private boolean inputExpected = true;
         private boolean inputDropped;
+        private int negotiationResponses;
         /**
          * The {@link System#nanoTime} of the read after which a message became incomplete, or of the last read since
          * then that also completed a message; 0 while no message is incomplete.
@@ -72,7 +76,18 @@
             inputExpected = false;
         }
 
-        /** Writes bytes to the peer without encoding them, as the negotiation of a protocol requires. */
+        /**
+         * Responds to a message with which a client negotiates before its login; more than
+         * {@link #MAX_NEGOTIATION_RESPONSES} of them on a connection are a protocol error.
+         */
+        protected final void respondToNegotiation(FilterChainContext context, byte[] bytes) {
+            if (++negotiationResponses > MAX_NEGOTIATION_RESPONSES) {
+                throw new IllegalArgumentException("too many negotiation messages");
+            }
+            respond(context, bytes);
+        }
+
+        /** Writes bytes to the peer without encoding them. */
         protected final void respond(FilterChainContext context, byte[] bytes) {
             context.write(wrap(bytes));
         }
