Cancel the timers of a request when it is finished

Callers saw: memory that grows while a client sends sound requests with long deadlines under ever new names, at the end no answers at all (the reviewer's heap had 33,000 deadline timers of requests already answered).

Why this works: the broker emits CancelRequestTimers when it forgets a request, and RequestTimers cancels what is scheduled for it; cancelled timers leave the queue at once.

Measured: FullSpeedClientsIT now also compares the live heap before and after (bound: a tenth of the heap).

--- a/src/main/java/crankwick/broker/BrokerEvent.java
+++ b/src/main/java/crankwick/broker/BrokerEvent.java
@@ -9,6 +9,12 @@
 
 /** An event that the broker reduces. */
 public sealed interface BrokerEvent {
+    /** The event of a timer that concerns one request, and nothing once the request is finished. */
+    sealed interface RequestTimerEvent extends BrokerEvent {
+        /** The broker's id of the request. */
+        long requestId();
+    }
+
     /** A client's request has been received completely. */
     record RequestReceived(ClientRequest request) implements BrokerEvent {}
 
@@ -31,7 +37,7 @@
             implements BrokerEvent {}
 
     /** The key window of the attempts before this one has ended: databases no longer discard it as a repeat. */
-    record KeyWindowEnded(long requestId, int attempt) implements BrokerEvent {}
+    record KeyWindowEnded(long requestId, int attempt) implements RequestTimerEvent {}
 
     /** A health check has ended. */
     record HealthCheckEnded(String endpointId, AttemptResult result, long duration, LoadReport report)
@@ -47,5 +53,5 @@
     record FailoverTimerFired() implements BrokerEvent {}
 
     /** A request's deadline has been reached, or the grace period that its attempt had after the deadline has ended. */
-    record DeadlineReached(long requestId) implements BrokerEvent {}
+    record DeadlineReached(long requestId) implements RequestTimerEvent {}
 }
--- a/src/main/java/crankwick/broker/Effect.java
+++ b/src/main/java/crankwick/broker/Effect.java
@@ -27,6 +27,9 @@
     /** Pass {@code event} to the broker after {@code delay} microseconds. */
     record ScheduleTimer(long delay, BrokerEvent event) implements Effect {}
 
+    /** Cancel the timers of a finished request, whose events are {@link BrokerEvent.RequestTimerEvent}s. */
+    record CancelRequestTimers(long requestId) implements Effect {}
+
     /** Write a line to the operators' log. */
     record Log(String line) implements Effect {}
 }
--- a/src/main/java/crankwick/broker/RequestLifecycle.java
+++ b/src/main/java/crankwick/broker/RequestLifecycle.java
@@ -147,6 +147,7 @@
      */
     void removeIfFinished(ActiveRequest active) {
         if (active.isFinished() && requests.remove(active)) {
+            context.emit(new Effect.CancelRequestTimers(active.id()));
             log(active.history());
         }
     }
--- a/src/main/java/crankwick/runtime/EffectRunner.java
+++ b/src/main/java/crankwick/runtime/EffectRunner.java
@@ -24,6 +24,7 @@
     private final EventLoop loop;
     private final Clock clock;
     private final ArrayDeque<BrokerEvent> events = new ArrayDeque<>();
+    private final RequestTimers requestTimers;
     private boolean running;
     private ClientListener clients;
     private DatabasePool databases;
@@ -33,6 +34,7 @@
         this.broker = broker;
         this.loop = loop;
         this.clock = clock;
+        requestTimers = new RequestTimers(loop);
     }
 
     /** Sets the components that execute the effects. */
@@ -73,7 +75,9 @@
         } else if (effect instanceof Effect.CancelQueuedAttempt e) {
             databases.cancelQueued(e.requestId());
         } else if (effect instanceof Effect.ScheduleTimer e) {
-            loop.schedule(e.delay(), () -> publish(e.event()));
+            scheduleTimer(e);
+        } else if (effect instanceof Effect.CancelRequestTimers e) {
+            requestTimers.cancelAll(e.requestId());
         } else if (effect instanceof Effect.CheckHealth e) {
             databases.checkHealth(e.endpointId());
         } else if (effect instanceof Effect.Log e) {
@@ -81,6 +85,15 @@
         }
     }
 
+    private void scheduleTimer(Effect.ScheduleTimer timer) {
+        Runnable task = () -> publish(timer.event());
+        if (timer.event() instanceof BrokerEvent.RequestTimerEvent event) {
+            requestTimers.schedule(event.requestId(), timer.delay(), task);
+        } else {
+            loop.schedule(timer.delay(), task);
+        }
+    }
+
     /**
      * Applies an endpoint list update to the pool first and then to the broker, since the broker must not name a
      * database unknown to the pool.
--- a/src/test/java/crankwick/app/ClientListenerIT.java
+++ b/src/test/java/crankwick/app/ClientListenerIT.java
@@ -129,7 +129,7 @@
                 Path.of("deploy/stations.zone"), folder.resolve("stations.zone"), StandardCopyOption.REPLACE_EXISTING);
         String text = Files.readString(Path.of("deploy/tds.toml"));
         assertTrue(text.contains(validText));
-        Process process = Deployment.start(
+        Process process = ProxyProcess.start(
                 null, Files.writeString(folder.resolve("tds.toml"), text.replace(validText, invalidText)));
         String output = new String(process.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
         assertEquals(process.waitFor(), 2, output);
--- a/src/test/java/crankwick/app/Deployment.java
+++ b/src/test/java/crankwick/app/Deployment.java
@@ -1,12 +1,9 @@
 package crankwick.app;
 
-import java.io.BufferedReader;
 import java.io.DataInputStream;
 import java.io.IOException;
-import java.io.InputStreamReader;
 import java.net.InetSocketAddress;
 import java.net.Socket;
-import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.nio.file.StandardCopyOption;
@@ -103,15 +100,7 @@
 
     /** Starts the program on one core and with the heap that the deploy file gives it. */
     static Deployment onOneCore(TestWireClient wire) throws IOException, InterruptedException {
-        return new Deployment(wire, "", "", List.of("taskset", "-c", lastAllowedCore()), "-Xmx48m");
-    }
-
-    private static String lastAllowedCore() throws IOException {
-        return Files.readAllLines(Path.of("/proc/self/status")).stream()
-                .filter(line -> line.startsWith("Cpus_allowed_list:"))
-                .map(line -> line.replaceAll(".*[^0-9]", ""))
-                .findAny()
-                .orElseThrow();
+        return new Deployment(wire, "", "", List.of("taskset", "-c", ProxyProcess.lastAllowedCore()), "-Xmx48m");
     }
 
     private Deployment(
@@ -129,7 +118,7 @@
         writeZone();
         boolean pg = wire instanceof PgTestClient;
         Files.writeString(config, pg ? platformConfig() : operatorFile());
-        process = start(pg ? config : null, pg ? null : config, launcher, heap);
+        process = ProxyProcess.start(pg ? config : null, pg ? null : config, launcher, heap);
         port = awaitPort();
         client().close();
     }
@@ -156,55 +145,9 @@
         return old;
     }
 
-    /** Starts the built program; either configuration may be null. */
-    static Process start(Path platform, Path operator) throws IOException {
-        return start(platform, operator, List.of(), "-Xmx64m");
-    }
-
-    private static Process start(Path platform, Path operator, List<String> launcher, String heap) throws IOException {
-        List<String> command = new ArrayList<>(launcher);
-        command.add(Path.of(System.getProperty("java.home"), "bin", "java").toString());
-        command.addAll(List.of("-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", heap));
-        command.addAll(List.of(System.getProperty("crankwick.jvm", "").split(" ")));
-        command.removeIf(String::isEmpty);
-        command.addAll(List.of("-jar", "target/crankwick.jar", "serve"));
-        if (operator != null) {
-            command.add(operator.toString());
-        }
-        ProcessBuilder builder = new ProcessBuilder(command).redirectErrorStream(true);
-        if (platform != null) {
-            builder.environment().put("ROUTER_CONFIG", platform.toString());
-        }
-        return builder.start();
-    }
-
     private int awaitPort() throws IOException, InterruptedException {
-        logReader = collectLog(process, log);
-        return awaitListenPort(log, 0);
-    }
-
-    /** Collects the output of a process in a thread that ends with it; the log must be safe for concurrent reads. */
-    static Thread collectLog(Process process, List<String> log) {
-        Thread logReader = new Thread(
-                () -> new BufferedReader(new InputStreamReader(process.getInputStream(), StandardCharsets.UTF_8))
-                        .lines()
-                        .forEach(log::add));
-        logReader.setDaemon(true);
-        logReader.start();
-        return logReader;
-    }
-
-    /** Waits for the program's listener with this index, in the order of start, and returns its port. */
-    static int awaitListenPort(List<String> log, int index) throws IOException, InterruptedException {
-        for (int i = 0; i < 1_500; i++) {
-            List<String> listeningLines =
-                    log.stream().filter(line -> line.contains("listening on")).toList();
-            if (listeningLines.size() > index) {
-                return Integer.parseInt(listeningLines.get(index).replaceAll(".*:", ""));
-            }
-            Thread.sleep(20);
-        }
-        throw new IOException("did not listen within 30 s: " + log);
+        logReader = ProxyProcess.collectLog(process, log);
+        return ProxyProcess.awaitListenPort(log, 0);
     }
 
     private String platformConfig() throws IOException {
--- a/src/test/java/crankwick/app/FailoverIT.java
+++ b/src/test/java/crankwick/app/FailoverIT.java
@@ -78,9 +78,9 @@
                 new DatabaseEmulator(codec, GROUPS, 17, new EmulatedEndpointList("ulemiste", zone))) {
             List<String> log = new CopyOnWriteArrayList<>();
             Process proxy = start(wire, emulation, zone);
-            Thread reader = Deployment.collectLog(proxy, log);
+            Thread reader = ProxyProcess.collectLog(proxy, log);
             try {
-                int port = Deployment.awaitListenPort(log, 0);
+                int port = ProxyProcess.awaitListenPort(log, 0);
                 emulation.scheduleFaults(FAILOVERS, SECONDS * 1_000_000L / (FAILOVERS + 1));
                 List<Outcome> outcomes = runLoad(wire, port);
                 assertOutcomes(outcomes, emulation.executionLog());
@@ -102,11 +102,11 @@
                 new DatabaseEmulator(codec, 1, PRIMARY_CRASH_SEED, new EmulatedEndpointList("ulemiste", zone))) {
             List<String> log = new CopyOnWriteArrayList<>();
             Process proxy = start(wire, emulation, zone);
-            Deployment.collectLog(proxy, log);
+            ProxyProcess.collectLog(proxy, log);
             ConcurrentLinkedQueue<Outcome> outcomes = new ConcurrentLinkedQueue<>();
             List<Thread> clients = new ArrayList<>();
             try {
-                int port = Deployment.awaitListenPort(log, 0);
+                int port = ProxyProcess.awaitListenPort(log, 0);
                 List<Socket> sockets = new ArrayList<>();
                 for (int i = 0; i < BUFFERED_WRITES; i++) {
                     sockets.add(connect(wire, port));
@@ -176,7 +176,7 @@
                             + emulation.endpointsJson() + ",\"settings\":"
                             + Toml.parse(OPERATOR_FILE).getTable("settings").toJson() + "}");
         }
-        return Deployment.start(platform, operator);
+        return ProxyProcess.start(platform, operator);
     }
 
     private List<Outcome> runLoad(TestWireClient wire, int port) throws Exception {
--- a/src/test/java/crankwick/app/FullSpeedClientsIT.java
+++ b/src/test/java/crankwick/app/FullSpeedClientsIT.java
@@ -13,7 +13,12 @@
 public class FullSpeedClientsIT extends BothWiresFixture {
     private static final int SENDERS = 6;
     private static final int PACED_CLIENTS = 5;
-    private static final int SENDING_MILLIS = Integer.getInteger("crankwick.fullSpeed.millis", 2_500);
+    /** A tenth of the heap: what clients take is free again once they have left. */
+    private static final long MAX_RETAINED_KILOBYTES = 4_800;
+
+    private static final int SENDING_MILLIS = Integer.getInteger("crankwick.fullSpeed.millis", 2_000);
+    /** Long enough for the requests of this time, if none were released, to exceed the limit on retained memory. */
+    private static final int SENDING_LONG_DEADLINES_MILLIS = 8_000;
 
     /** All combinations of protocol and kind of message. */
     @DataProvider
@@ -27,7 +32,7 @@
         return all.toArray(Object[][]::new);
     }
 
-    /** Guards against answers that come late or never because other clients send at full speed. */
+    /** Guards against late or lost answers, and memory that grows, while other clients send at full speed. */
     @Test(dataProvider = "kinds")
     public void otherClientsAreAnsweredInTime(TestWireClient wire, FullSpeedSender.Kind kind) throws Exception {
         try (Deployment d = Deployment.onOneCore(wire)) {
@@ -38,18 +43,23 @@
                 paced.add(new PacedClient(d, ids));
             }
             Thread.sleep(500);
+            long heapBefore = ProxyProcess.liveHeapKilobytes(d.process);
             for (int i = 0; i < SENDERS; i++) {
                 senders.add(new FullSpeedSender(d, kind));
             }
-            Thread.sleep(SENDING_MILLIS);
+            boolean longDeadlines = kind == FullSpeedSender.Kind.READS_OF_NEW_GROUPS;
+            Thread.sleep(longDeadlines ? SENDING_LONG_DEADLINES_MILLIS : SENDING_MILLIS);
             paced.forEach(PacedClient::close);
             for (FullSpeedSender sender : senders) {
                 sender.close();
             }
-            String seen = wire.getClass().getSimpleName() + " " + kind + ": " + paced;
+            Thread.sleep(500);
+            long retained = ProxyProcess.liveHeapKilobytes(d.process) - heapBefore;
+            String seen = wire.getClass().getSimpleName() + " " + kind + ": " + paced + " " + retained + " KB retained";
             System.out.println(seen);
             assertTrue(d.process.isAlive(), seen);
             assertTrue(d.log.stream().noneMatch(line -> line.contains("OutOfMemoryError")), seen);
+            assertTrue(retained < MAX_RETAINED_KILOBYTES, seen);
             for (PacedClient client : paced) {
                 assertTrue(client.answers > 0, seen);
                 assertEquals(client.lost, 0, seen);
--- a/src/test/java/crankwick/app/FullSpeedSender.java
+++ b/src/test/java/crankwick/app/FullSpeedSender.java
@@ -70,7 +70,8 @@
         }
     }
 
-    private static void readToEnd(Socket socket) {
+    /** Reads and drops all input until the connection ends. */
+    static void readToEnd(Socket socket) {
         try (InputStream in = socket.getInputStream()) {
             in.transferTo(java.io.OutputStream.nullOutputStream());
         } catch (IOException e) {
