Send no request of a client whose input has been unread for over 50 ms

Cause: a client's close stands behind all that it sent before, and is known only once that is read. The check before the first byte of an attempt knew what had been read, and took unread input for silence. One read returns at most 16 KB, and reading pauses at 4,096 unprocessed messages, beside busy clients for over a second.

Why this works: the codec records since when reads have filled the buffer, the inbox since when reading is paused. While that is over 50 ms ago, no attempt of the client begins (not_sent_unread_input), and its further requests are rejected in their place before they take room in the router. An attempt begins at most 50 ms after the last moment at which the close could not yet have been sent; the operators allow 100 ms.

--- a/src/main/java/crankwick/client/ClientCommand.java
+++ b/src/main/java/crankwick/client/ClientCommand.java
@@ -49,6 +49,11 @@
         return readAt;
     }
 
+    /** True if the client may have closed or cancelled long ago, in input that is still unread. Safe on any thread. */
+    public boolean hasLongUnreadInput() {
+        return session.hasLongUnreadInput();
+    }
+
     /**
      * True once the connection has closed, by either side, or the client has cancelled the command. Safe on any thread.
      */
--- a/src/main/java/crankwick/client/ClientListener.java
+++ b/src/main/java/crankwick/client/ClientListener.java
@@ -66,8 +66,7 @@
         Reply overLimitReply = overLimitReply(settings.routing().limits());
         acceptLimiter = new AcceptLimiter(settings.maxSessions());
         requests = new OpenRequests(broker);
-        sessions = new SessionTable(
-                loop, codec, requests, counters, new CloseLog(clock, counters), settings.maxSessions());
+        sessions = new SessionTable(loop, requests, counters, new CloseLog(clock, counters), settings.maxSessions());
         writer = new OrderedReplyWriter(loop, clock, sessions, requests, counters, overLimitReply);
         admission = new CommandAdmission(broker, clock, settings, sessions, requests, writer, overLimitReply);
         sweeper = new IdleSweeper(loop, clock, codec, sessions, writer);
@@ -191,7 +190,7 @@
         @Override
         public NextAction handleAccept(FilterChainContext context) {
             Connection<SocketAddress> connection = Transport.connection(context);
-            ClientSession session = new ClientSession(connection, statementBudget, replyBudget, counters);
+            ClientSession session = new ClientSession(connection, codec, statementBudget, replyBudget, counters);
             counters.countAccepted();
             sessionOfConnection.set(connection, session);
             acceptLimiter.onAccepted();
--- a/src/main/java/crankwick/client/ClientSession.java
+++ b/src/main/java/crankwick/client/ClientSession.java
@@ -16,6 +16,7 @@
  * reading. Commands over these limits are read as {@link ClientMessage.OverLimit}, without their text.
  */
 final class ClientSession {
+    private static final long NANOS_PER_MILLI = 1_000_000;
     private static final int MAX_OPEN_COMMANDS = 1_024;
     private static final long MAX_OPEN_STATEMENT_BYTES = 1 << 20;
     /**
@@ -24,6 +25,12 @@
      */
     private static final long MAX_UNWRITTEN_BYTES = 256 * 1_024;
 
+    /**
+     * For how long input of the client may be unread while its requests are still sent: less than the 100 ms after its
+     * close in which an attempt may begin, as the close may be among that input.
+     */
+    private static final long MAX_UNREAD_INPUT_NANOS = 50 * NANOS_PER_MILLI;
+
     final Connection<SocketAddress> connection;
     final MessageInbox inbox;
     /** Commands whose replies are not handed to the transport yet, in the order in which the replies are sent. */
@@ -50,6 +57,7 @@
     /** The end of the linger period, after which the connection is terminated; 0 if the session is not lingering. */
     long lingerUntilMicros;
 
+    private final CodecFilter codec;
     private final ByteBudget statementBudget;
     private final ByteBudget replyBudget;
     private final ClientCounters counters;
@@ -87,10 +95,12 @@
 
     ClientSession(
             Connection<SocketAddress> connection,
+            CodecFilter codec,
             ByteBudget statementBudget,
             ByteBudget replyBudget,
             ClientCounters counters) {
         this.connection = connection;
+        this.codec = codec;
         inbox = new MessageInbox(connection, counters);
         this.statementBudget = statementBudget;
         this.replyBudget = replyBudget;
@@ -129,7 +139,7 @@
                 && openStatementBytes + bytes <= MAX_OPEN_STATEMENT_BYTES
                 && statementBudget.reserve(bytes);
         if (!fits) {
-            counters.countOverLimitCommand();
+            countOverLimitCommand();
             return new ClientMessage.OverLimit();
         }
         openCommands++;
@@ -149,6 +159,10 @@
         }
     }
 
+    void countOverLimitCommand() {
+        counters.countOverLimitCommand();
+    }
+
     private void releaseStatement(long bytes) {
         // Guards against a double release: after onClosed(), which releases all bytes of the session, none are left.
         long reserved = Math.min(bytes, openStatementBytes);
@@ -202,6 +216,16 @@
         return closed || messageNumber > 0 && messageNumber <= lastCancelledMessage;
     }
 
+    /** True if the client may have closed or cancelled so long ago that no request of it may be sent. */
+    boolean hasLongUnreadInput() {
+        long now = System.nanoTime();
+        return isLongAgo(codec.unreadSinceNanos(connection), now) || isLongAgo(inbox.readPausedSinceNanos(), now);
+    }
+
+    private static boolean isLongAgo(long sinceNanos, long now) {
+        return sinceNanos != 0 && now - sinceNanos > MAX_UNREAD_INPUT_NANOS;
+    }
+
     /** True if a message has been read whose reply is not written yet. */
     synchronized boolean hasUnansweredMessage() {
         return unansweredMessages > 0;
@@ -212,7 +236,7 @@
      * check and the close. If a message is unanswered, or one is partly received and {@link MessageInbox#stopReading}
      * has not been called, the connection stays open and {@code whenBusy} runs.
      */
-    void closeUnlessBusy(CodecFilter codec, CloseReason reason, Runnable whenBusy) {
+    void closeUnlessBusy(CloseReason reason, Runnable whenBusy) {
         Transport.afterPendingReads(connection, () -> {
             if (hasUnansweredMessage() || !inbox.isReadingStopped() && codec.hasIncompleteMessage(connection)) {
                 whenBusy.run();
--- a/src/main/java/crankwick/client/CommandAdmission.java
+++ b/src/main/java/crankwick/client/CommandAdmission.java
@@ -122,6 +122,12 @@
     }
 
     private void onQuery(ClientSession session, ClientMessage.Query query, long number, long readAt) {
+        if (session.hasLongUnreadInput()) {
+            session.countOverLimitCommand();
+            ClientCommand unsendable = new ClientCommand(session, requests.nextId(), null, query, number, readAt);
+            add(unsendable, new ClientReply.RequestReply(overLimitReply));
+            return;
+        }
         Statement statement;
         try {
             statement = decoder.decode(query.text());
--- a/src/main/java/crankwick/client/MessageInbox.java
+++ b/src/main/java/crankwick/client/MessageInbox.java
@@ -112,6 +112,11 @@
         }
     }
 
+    /** The {@link System#nanoTime} since when reading has been paused; 0 if it is not. */
+    synchronized long readPausedSinceNanos() {
+        return readPaused ? readPausedAtNanos : 0;
+    }
+
     /** Drops all messages of a connection that has closed. */
     synchronized void close() {
         closed = true;
--- a/src/main/java/crankwick/client/SessionTable.java
+++ b/src/main/java/crankwick/client/SessionTable.java
@@ -1,7 +1,6 @@
 package crankwick.client;
 
 import crankwick.broker.AbandonReason;
-import crankwick.transport.CodecFilter;
 import crankwick.transport.EventLoop;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -13,7 +12,6 @@
  */
 final class SessionTable {
     private final EventLoop loop;
-    private final CodecFilter codec;
     private final OpenRequests requests;
     private final ClientCounters counters;
     private final CloseLog closeLog;
@@ -22,15 +20,8 @@
     /** The number of sessions with {@link ClientSession#closePending} set. */
     private int pendingCloses;
 
-    SessionTable(
-            EventLoop loop,
-            CodecFilter codec,
-            OpenRequests requests,
-            ClientCounters counters,
-            CloseLog closeLog,
-            int maxSessions) {
+    SessionTable(EventLoop loop, OpenRequests requests, ClientCounters counters, CloseLog closeLog, int maxSessions) {
         this.loop = loop;
-        this.codec = codec;
         this.requests = requests;
         this.counters = counters;
         this.closeLog = closeLog;
@@ -99,7 +90,7 @@
         }
         session.closePending = true;
         pendingCloses++;
-        session.closeUnlessBusy(codec, reason, () -> loop.execute(() -> onStillBusy(session)));
+        session.closeUnlessBusy(reason, () -> loop.execute(() -> onStillBusy(session)));
     }
 
     private void onStillBusy(ClientSession session) {
--- a/src/main/java/crankwick/database/AttemptExchange.java
+++ b/src/main/java/crankwick/database/AttemptExchange.java
@@ -51,7 +51,10 @@
         if (context.clock().now() >= attempt.startDeadline()) {
             return SendDecision.EXPIRED;
         }
-        return source.isAbandoned() ? SendDecision.ABANDONED : SendDecision.SEND;
+        if (source.isAbandoned()) {
+            return SendDecision.ABANDONED;
+        }
+        return source.hasLongUnreadInput() ? SendDecision.UNREAD_INPUT : SendDecision.SEND;
     }
 
     @Override
--- a/src/main/java/crankwick/database/PoolCounters.java
+++ b/src/main/java/crankwick/database/PoolCounters.java
@@ -42,6 +42,7 @@
     public String toString() {
         return "opened=" + opened + " connect_timeouts=" + connectTimeouts + " reassigned=" + reassigned
                 + " not_sent_abandoned=" + notSent[SendDecision.ABANDONED.ordinal()]
+                + " not_sent_unread_input=" + notSent[SendDecision.UNREAD_INPUT.ordinal()]
                 + " not_sent_expired=" + notSent[SendDecision.EXPIRED.ordinal()];
     }
 }
--- a/src/main/java/crankwick/runtime/ForwardedCommand.java
+++ b/src/main/java/crankwick/runtime/ForwardedCommand.java
@@ -22,6 +22,11 @@
         return command.readAt();
     }
 
+    @Override
+    public boolean hasLongUnreadInput() {
+        return command.hasLongUnreadInput();
+    }
+
     @Override
     public boolean isAbandoned() {
         return command.isAbandoned();
--- a/src/main/java/crankwick/transport/CodecFilter.java
+++ b/src/main/java/crankwick/transport/CodecFilter.java
@@ -49,6 +49,11 @@
          * then that also completed a message; 0 while no message is incomplete.
          */
         private volatile long incompleteSinceNanos;
+        /**
+         * The {@link System#nanoTime} of the first read since then that filled the read buffer, so that the peer's
+         * socket may have had further input ever since; 0 while there was none at the last read.
+         */
+        private volatile long unreadSinceNanos;
 
         /**
          * Decodes a message from the buffer's position; returns false if it is incomplete. Throws
@@ -97,6 +102,14 @@
             inputExpected = true;
         }
 
+        private void recordReadSize(int bytes) {
+            if (bytes < Transport.READ_BUFFER_BYTES) {
+                unreadSinceNanos = 0;
+            } else if (unreadSinceNanos == 0) {
+                unreadSinceNanos = System.nanoTime();
+            }
+        }
+
         private synchronized List<Object> read(ByteBuffer in, FilterChainContext context, AtomicLong budget) {
             if (inputDropped) {
                 return List.of();
@@ -217,6 +230,15 @@
         return since != 0 && System.nanoTime() - since > micros * NANOS_PER_MICRO;
     }
 
+    /**
+     * The {@link System#nanoTime} since when the connection may have had unread input, because reading has not reached
+     * its end; 0 if the last read did. What the peer sent last, such as its close, may be unknown since then.
+     */
+    public final long unreadSinceNanos(Connection<?> connection) {
+        Decoder decoder = decoders.peek(connection);
+        return decoder == null ? 0 : decoder.unreadSinceNanos;
+    }
+
     /** Runs a task on the selector thread if the connection is still stalled after pending input is read. */
     public final void runIfStillStalled(Connection<?> connection, long micros, Runnable task) {
         Transport.afterPendingReads(connection, () -> {
@@ -240,7 +262,9 @@
     @Override
     public final NextAction handleRead(FilterChainContext context) throws IOException {
         Buffer in = context.getMessage();
-        List<Object> messages = decoders.peek(context.getConnection()).read(in.toByteBuffer(), context, bufferedBytes);
+        Decoder decoder = decoders.peek(context.getConnection());
+        decoder.recordReadSize(in.remaining());
+        List<Object> messages = decoder.read(in.toByteBuffer(), context, bufferedBytes);
         in.tryDispose();
         if (messages.isEmpty()) {
             return context.getStopAction();
--- a/src/main/java/crankwick/transport/Transport.java
+++ b/src/main/java/crankwick/transport/Transport.java
@@ -32,7 +32,8 @@
 /** The process's Grizzly transport: a single selector thread reads, decodes and passes messages on. */
 public final class Transport implements AutoCloseable {
     private static final Logger LOG = LoggerFactory.getLogger(Transport.class);
-    private static final int READ_BUFFER_BYTES = 16 * 1024;
+    /** The most that one read of a connection returns. */
+    static final int READ_BUFFER_BYTES = 16 * 1024;
     /**
      * Limits the memory for the unwritten data of a connection whose peer does not read: writes beyond this limit fail.
      */
--- a/src/test/java/crankwick/app/ConnectionRaceTest.java
+++ b/src/test/java/crankwick/app/ConnectionRaceTest.java
@@ -338,6 +338,9 @@
                 PausableProxyFixture.Client client = proxy.new Client()) {
             proxy.database.replyKind = "NO_REPLY";
             client.sendWrite("1", 2_000);
+            while (proxy.attemptLog.countAttempts("1") == 0) {
+                Thread.sleep(1);
+            }
             client.sendPart("\n".repeat(pipelinedCommands));
             assertEquals(client.readAnswer(), "Failed");
             int emptyReplies = 0;
