Do not execute a non-idempotent request again that comes again under its id

Cause: an id counted as in use only until its request was finished. When the client left during the attempt, the request finished with the attempt, and the same request on the client's next connection was executed as a new one. A close was also processed behind the messages that waited, so that a message read after it could find the id still in use.

Repeats of idempotent requests are harmless, and those with a key are discarded by the databases. Closes are processed before the messages that wait.

--- a/src/main/java/crankwick/broker/ActiveRequest.java
+++ b/src/main/java/crankwick/broker/ActiveRequest.java
@@ -186,6 +186,11 @@
         return requestClass.idempotency() == Idempotency.IDEMPOTENT;
     }
 
+    /** True if an attempt may have executed and a further execution would have another effect. */
+    boolean mustNotExecuteAgain() {
+        return requestClass.idempotency() == Idempotency.NON_IDEMPOTENT && mayHaveExecutedSince != AbsentValue.NONE;
+    }
+
     long id() {
         return request.requestId();
     }
--- a/src/main/java/crankwick/broker/ActiveRequests.java
+++ b/src/main/java/crankwick/broker/ActiveRequests.java
@@ -6,18 +6,20 @@
 import java.util.Map;
 import java.util.Set;
 
-/** All requests that are not finished, and their client request IDs. */
+/** All requests that are not finished, and the client request IDs that may not be used at present. */
 final class ActiveRequests {
     private final Map<Long, ActiveRequest> byId = new HashMap<>();
     private final Set<String> clientRequestIds = new HashSet<>();
+    private final ExecutedRequestIds executedIds = new ExecutedRequestIds();
 
     /** Finds a request by the broker's ID; null if it is finished or was never admitted. */
     ActiveRequest find(long requestId) {
         return byId.get(requestId);
     }
 
-    boolean isClientRequestIdInUse(String clientRequestId) {
-        return clientRequestIds.contains(clientRequestId);
+    /** True if a request with this ID is unfinished, or has finished and must not execute again. */
+    boolean isClientRequestIdInUse(String clientRequestId, long now) {
+        return clientRequestIds.contains(clientRequestId) || executedIds.contains(clientRequestId, now);
     }
 
     void add(ActiveRequest request) {
@@ -25,11 +27,14 @@
         clientRequestIds.add(request.request().clientRequestId());
     }
 
-    /** Removes a request; false if it had already been removed. */
-    boolean remove(ActiveRequest request) {
+    /** Removes a finished request; false if it had already been removed. */
+    boolean remove(ActiveRequest request, long now) {
         boolean removed = byId.remove(request.id()) != null;
         if (removed) {
             clientRequestIds.remove(request.request().clientRequestId());
+            if (request.mustNotExecuteAgain()) {
+                executedIds.add(request.request().clientRequestId(), now);
+            }
         }
         return removed;
     }
--- a/src/main/java/crankwick/broker/RequestLifecycle.java
+++ b/src/main/java/crankwick/broker/RequestLifecycle.java
@@ -35,7 +35,7 @@
     /** Admits a request if its team's contract and its group's failover state permit it, or replies at once. */
     void receive(ClientRequest request) {
         counters.countReceived();
-        boolean idInUse = requests.isClientRequestIdInUse(request.clientRequestId());
+        boolean idInUse = requests.isClientRequestIdInUse(request.clientRequestId(), context.now());
         AdmissionDecision decision = admission.decide(request, idInUse, context.now());
         if (decision instanceof AdmissionDecision.Denied denied) {
             deny(request, denied.reply());
@@ -146,7 +146,7 @@
      * served it or the rate limit for histories is exceeded.
      */
     void removeIfFinished(ActiveRequest active) {
-        if (active.isFinished() && requests.remove(active)) {
+        if (active.isFinished() && requests.remove(active, context.now())) {
             context.emit(new Effect.CancelRequestTimers(active.id()));
             log(active.history());
         }
--- a/src/main/java/crankwick/client/ClientListener.java
+++ b/src/main/java/crankwick/client/ClientListener.java
@@ -164,11 +164,6 @@
         }
     }
 
-    private void onClosed(ClientSession session) {
-        session.register();
-        sessions.onClosed(session);
-    }
-
     /** Passes the messages of sessions on, each session after its registration. */
     private final class SessionMessageHandler implements MessageScheduler.Handler {
         @Override
@@ -180,6 +175,11 @@
         public void onMessage(ClientSession session, ReceivedMessage received) {
             admission.onMessage(session, received);
         }
+
+        @Override
+        public void onClosed(ClientSession session) {
+            sessions.onClosed(session);
+        }
     }
 
     /**
@@ -213,7 +213,7 @@
             if (session != null) {
                 session.onClosed();
                 acceptLimiter.onClosed();
-                loop.execute(() -> onClosed(session));
+                scheduler.scheduleClosed(session);
             }
             return context.getStopAction();
         }
--- a/src/main/java/crankwick/client/MessageScheduler.java
+++ b/src/main/java/crankwick/client/MessageScheduler.java
@@ -25,6 +25,9 @@
 
         /** Called for each message, or for several that share an entry. */
         void onMessage(ClientSession session, ReceivedMessage received);
+
+        /** Called when a session's connection has closed, before the messages that other clients have sent since. */
+        void onClosed(ClientSession session);
     }
 
     private final EventLoop loop;
@@ -32,6 +35,9 @@
     /** Sessions whose messages have arrived since they last had none; added to by the selector thread. */
     private final Queue<ClientSession> arrived = new ConcurrentLinkedQueue<>();
 
+    /** Sessions whose connections have closed; added to by the selector thread. */
+    private final Queue<ClientSession> closed = new ConcurrentLinkedQueue<>();
+
     private final ArrayDeque<ClientSession> backlogged = new ArrayDeque<>();
     /** Whether a run is queued on the event loop or in progress. */
     private final AtomicBoolean runQueued = new AtomicBoolean();
@@ -49,6 +55,12 @@
         }
     }
 
+    /** Schedules the end of a session whose connection has closed. Safe on any thread. */
+    void scheduleClosed(ClientSession session) {
+        closed.add(session);
+        queueRun();
+    }
+
     private void queueRun() {
         if (runQueued.compareAndSet(false, true)) {
             loop.execute(this::run);
@@ -66,13 +78,17 @@
             }
         } finally {
             runQueued.set(false);
-            if (!backlogged.isEmpty() || !arrived.isEmpty()) {
+            if (!backlogged.isEmpty() || !arrived.isEmpty() || !closed.isEmpty()) {
                 queueRun();
             }
         }
     }
 
     private ClientSession next() {
+        for (ClientSession session = closed.poll(); session != null; session = closed.poll()) {
+            session.register();
+            handler.onClosed(session);
+        }
         ClientSession session = arrived.poll();
         return session == null ? backlogged.poll() : session;
     }
--- a/src/test/java/crankwick/routing/TestSettings.java
+++ b/src/test/java/crankwick/routing/TestSettings.java
@@ -21,6 +21,12 @@
     /** Creates the settings; times are in microseconds. */
     public static RoutingSettings keyedWrite(
             long keyTtl, long deadline, long connectTimeout, boolean healthChecksAllowed) {
+        return write(Idempotency.WITH_KEY, keyTtl, deadline, connectTimeout, healthChecksAllowed);
+    }
+
+    /** As above, for writes of any idempotency. */
+    public static RoutingSettings write(
+            Idempotency idempotency, long keyTtl, long deadline, long connectTimeout, boolean healthChecksAllowed) {
         return new RoutingSettings(
                 1,
                 0,
@@ -42,7 +48,7 @@
                 List.of(new RequestClass(
                         ConsistencyLevel.WRITE,
                         0,
-                        Idempotency.WITH_KEY,
+                        idempotency,
                         DeduplicationScope.GROUP,
                         keyTtl,
                         750 * MICROS_PER_MILLI,
