Write the replies that become ready in a turn at once

Callers saw: on a core that is shared with other processes, answers still came late while others sent at full speed.

Cause: each reply was encoded, handed to the transport and written to the socket by itself: a system call for each empty statement.

The order, the limits on what is written ahead of the client and the moment at which each reply counts as written are as before.

--- a/src/main/java/crankwick/client/ClientListener.java
+++ b/src/main/java/crankwick/client/ClientListener.java
@@ -171,6 +171,16 @@
             ClientListener.this.onAccepted(session);
         }
 
+        @Override
+        public void beginTurn(ClientSession session) {
+            writer.beginTurn(session);
+        }
+
+        @Override
+        public void endTurn(ClientSession session) {
+            writer.endTurn(session);
+        }
+
         @Override
         public void onMessage(ClientSession session, ReceivedMessage received) {
             admission.onMessage(session, received);
--- a/src/main/java/crankwick/client/ClientSession.java
+++ b/src/main/java/crankwick/client/ClientSession.java
@@ -53,6 +53,9 @@
      */
     boolean closePending;
 
+    /** Whether ready replies are written only at the end of the session's current turn. */
+    boolean flushDeferred;
+
     long idleSinceMicros;
     /** The end of the linger period, after which the connection is terminated; 0 if the session is not lingering. */
     long lingerUntilMicros;
--- a/src/main/java/crankwick/client/MessageScheduler.java
+++ b/src/main/java/crankwick/client/MessageScheduler.java
@@ -23,6 +23,12 @@
         /** Called before the first message of a session. */
         void onAccepted(ClientSession session);
 
+        /** Called before the messages of a turn. */
+        void beginTurn(ClientSession session);
+
+        /** Called after the messages of a turn. */
+        void endTurn(ClientSession session);
+
         /** Called for each message, or for several that share an entry. */
         void onMessage(ClientSession session, ReceivedMessage received);
 
@@ -99,6 +105,7 @@
             if (session.register()) {
                 handler.onAccepted(session);
             }
+            handler.beginTurn(session);
             for (int messages = 0; messages < MAX_MESSAGES_PER_TURN; messages++) {
                 ReceivedMessage received = session.inbox.poll();
                 if (received == null) {
@@ -110,6 +117,7 @@
                 }
             }
         } finally {
+            handler.endTurn(session);
             if (!session.inbox.unmarkScheduledIfEmpty()) {
                 backlogged.add(session);
             }
--- a/src/main/java/crankwick/client/OrderedReplyWriter.java
+++ b/src/main/java/crankwick/client/OrderedReplyWriter.java
@@ -3,8 +3,11 @@
 import crankwick.broker.Reply;
 import crankwick.transport.Clock;
 import crankwick.transport.EventLoop;
+import crankwick.transport.MessageBatch;
 import crankwick.transport.Transport;
 import java.net.SocketAddress;
+import java.util.ArrayList;
+import java.util.List;
 import org.glassfish.grizzly.EmptyCompletionHandler;
 import org.glassfish.grizzly.WriteResult;
 
@@ -15,6 +18,8 @@
 final class OrderedReplyWriter {
     /** The size that is counted for a reply in addition to its value; an upper bound. */
     private static final int REPLY_OVERHEAD_BYTES = 256;
+    /** A batch of replies is written once its replies, counted with their overhead, have this size. */
+    private static final long MAX_BATCH_BYTES = 16 * 1_024;
     /**
      * How long a connection stays open, with input read and dropped, after its last reply: closing with unread input
      * sends a reset, on which the client may lose that reply.
@@ -54,11 +59,27 @@
         return shuttingDown;
     }
 
+    /** Defers the writes of a session until {@link #endTurn}, so that the replies of a turn are written at once. */
+    void beginTurn(ClientSession session) {
+        session.flushDeferred = true;
+    }
+
+    /** Writes the replies that became ready since {@link #beginTurn}. */
+    void endTurn(ClientSession session) {
+        session.flushDeferred = false;
+        if (sessions.contains(session)) {
+            flush(session);
+        }
+    }
+
     /**
      * Writes the replies that are ready, then closes the session if it is idle and either it is closing or the listener
      * is shutting down.
      */
     void flush(ClientSession session) {
+        if (session.flushDeferred) {
+            return;
+        }
         writeReady(session);
         if (session.closing && session.isIdle()) {
             session.lingerUntilMicros = clock.now() + LINGER_MICROS;
@@ -111,32 +132,38 @@
     }
 
     private void writeReady(ClientSession session) {
-        while (!session.commands.isEmpty()
-                && session.commands.peek().reply != null
-                && !session.isLingering()
-                && session.mayWrite()) {
+        ReplyBatch batch = new ReplyBatch(session);
+        while (mayWriteNext(session)) {
             ClientCommand command = session.commands.peek();
             if (--command.pendingReplies == 0) {
                 session.commands.poll();
             }
             session.idleSinceMicros = clock.now();
             if (command.reply instanceof ClientReply.ConnectionError) {
+                batch.write();
                 closeAfterReply(session, command.reply);
-            } else {
-                write(session, command);
+                return;
             }
+            session.onWriteQueued(bytesOf(command), clock.now());
+            batch = batch.add(command);
         }
+        batch.write();
+    }
+
+    private static boolean mayWriteNext(ClientSession session) {
+        return !session.commands.isEmpty()
+                && session.commands.peek().reply != null
+                && !session.isLingering()
+                && session.mayWrite();
     }
 
-    private void write(ClientSession session, ClientCommand command) {
-        long bytes = REPLY_OVERHEAD_BYTES + command.reply.valueBytes();
-        session.onWriteQueued(bytes, clock.now());
-        session.connection.write(command.reply, new ReplyHandler(session, command, bytes));
+    private static long bytesOf(ClientCommand command) {
+        return REPLY_OVERHEAD_BYTES + command.reply.valueBytes();
     }
 
-    private void onWritten(ClientSession session, ClientCommand command, long bytes) {
+    private void onWritten(ClientSession session, ClientCommand command) {
         session.releaseReply(command.reply.valueBytes());
-        boolean mayContinue = session.onWritten(bytes, clock.now());
+        boolean mayContinue = session.onWritten(bytesOf(command), clock.now());
         session.onAnswered(command.message, 1);
         if (mayContinue) {
             loop.execute(() -> flush(session));
@@ -144,23 +171,44 @@
     }
 
     /**
-     * Releases a reply's reserved bytes once it is written, on the thread that completed the write. Closes the
-     * connection if the write fails.
+     * Consecutive replies of a session that are written at once. Releases their reserved bytes once they are written,
+     * on the thread that completed the write. Closes the connection if the write fails.
      */
-    private final class ReplyHandler extends EmptyCompletionHandler<WriteResult<ClientReply, SocketAddress>> {
+    private final class ReplyBatch extends EmptyCompletionHandler<WriteResult<MessageBatch, SocketAddress>> {
         private final ClientSession session;
-        private final ClientCommand command;
-        private final long bytes;
+        private final List<ClientCommand> commands = new ArrayList<>(2);
+        private long bytes;
 
-        ReplyHandler(ClientSession session, ClientCommand command, long bytes) {
+        ReplyBatch(ClientSession session) {
             this.session = session;
-            this.command = command;
-            this.bytes = bytes;
+        }
+
+        /** Adds a command's reply; returns the batch for the next one, which is new if this one was full. */
+        ReplyBatch add(ClientCommand command) {
+            commands.add(command);
+            bytes += bytesOf(command);
+            if (bytes < MAX_BATCH_BYTES) {
+                return this;
+            }
+            write();
+            return new ReplyBatch(session);
+        }
+
+        void write() {
+            if (!commands.isEmpty()) {
+                List<ClientReply> replies = new ArrayList<>(commands.size());
+                for (ClientCommand command : commands) {
+                    replies.add(command.reply);
+                }
+                session.connection.write(new MessageBatch(replies), this);
+            }
         }
 
         @Override
-        public void completed(WriteResult<ClientReply, SocketAddress> result) {
-            onWritten(session, command, bytes);
+        public void completed(WriteResult<MessageBatch, SocketAddress> result) {
+            for (ClientCommand command : commands) {
+                onWritten(session, command);
+            }
         }
 
         @Override
--- a/src/main/java/crankwick/transport/CodecFilter.java
+++ b/src/main/java/crankwick/transport/CodecFilter.java
@@ -1,5 +1,6 @@
 package crankwick.transport;
 
+import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.nio.BufferUnderflowException;
 import java.nio.ByteBuffer;
@@ -275,10 +276,19 @@
 
     @Override
     public final NextAction handleWrite(FilterChainContext context) throws IOException {
-        context.setMessage(wrap(encode(context.getMessage())));
+        Object message = context.getMessage();
+        context.setMessage(wrap(message instanceof MessageBatch batch ? encodeAll(batch) : encode(message)));
         return context.getInvokeAction();
     }
 
+    private byte[] encodeAll(MessageBatch batch) {
+        ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+        for (Object message : batch.messages()) {
+            bytes.writeBytes(encode(message));
+        }
+        return bytes.toByteArray();
+    }
+
     @Override
     public final NextAction handleClose(FilterChainContext context) throws IOException {
         Decoder decoder = decoders.peek(context.getConnection());
