Read few connections with much unread input in one round of the selector thread

Callers saw: with hundreds of clients that send at full speed, the others' answers came late, one over 0.5 s late.

Cause: a round of the selector thread reads up to 16 KB of each connection that has input, and decodes it; with 400 such connections a round takes hundreds of milliseconds, in which nothing else is read or written.

Why this works: of the connections whose last read filled the buffer, four are read in a round, in turn; all others are read at once, as before. A connection with unread input no longer counts as stalled or idle, as its rest may have arrived.

--- a/src/main/java/crankwick/client/ClientSession.java
+++ b/src/main/java/crankwick/client/ClientSession.java
@@ -104,7 +104,7 @@
             ClientCounters counters) {
         this.connection = connection;
         this.codec = codec;
-        inbox = new MessageInbox(connection, counters);
+        inbox = new MessageInbox(connection, codec, counters);
         this.statementBudget = statementBudget;
         this.replyBudget = replyBudget;
         this.counters = counters;
@@ -236,12 +236,12 @@
 
     /**
      * Closes the connection on the selector thread after pending input is read, so that nothing is read between the
-     * check and the close. If a message is unanswered, or one is partly received and {@link MessageInbox#stopReading}
+     * check and the close. If a message is unanswered, or more input is expected and {@link MessageInbox#stopReading}
      * has not been called, the connection stays open and {@code whenBusy} runs.
      */
     void closeUnlessBusy(CloseReason reason, Runnable whenBusy) {
         Transport.afterPendingReads(connection, () -> {
-            if (hasUnansweredMessage() || !inbox.isReadingStopped() && codec.hasIncompleteMessage(connection)) {
+            if (hasUnansweredMessage() || !inbox.isReadingStopped() && expectsInput()) {
                 whenBusy.run();
             } else {
                 recordCloseReason(reason);
@@ -250,6 +250,10 @@
         });
     }
 
+    private boolean expectsInput() {
+        return codec.hasIncompleteMessage(connection) || codec.unreadSinceNanos(connection) != 0;
+    }
+
     /** Records why the proxy is about to end the connection; the first reason counts. */
     synchronized void recordCloseReason(CloseReason reason) {
         closeReason = closeReason == null && !closed ? reason : closeReason;
--- a/src/main/java/crankwick/client/MessageInbox.java
+++ b/src/main/java/crankwick/client/MessageInbox.java
@@ -1,11 +1,10 @@
 package crankwick.client;
 
-import crankwick.transport.Transport;
+import crankwick.transport.CodecFilter;
 import java.net.SocketAddress;
 import java.util.ArrayDeque;
 import java.util.Deque;
 import org.glassfish.grizzly.Connection;
-import org.glassfish.grizzly.IOEvent;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -25,6 +24,7 @@
     private static final int MAX_UNPROCESSED_MESSAGES = 4_096;
 
     private final Connection<SocketAddress> connection;
+    private final CodecFilter codec;
     private final ClientCounters counters;
     private final Deque<ReceivedMessage> messages = new ArrayDeque<>();
     /** The number of messages in {@link #messages}, of which several may share an entry. */
@@ -41,8 +41,9 @@
     private boolean readingStopped;
     private boolean closed;
 
-    MessageInbox(Connection<SocketAddress> connection, ClientCounters counters) {
+    MessageInbox(Connection<SocketAddress> connection, CodecFilter codec, ClientCounters counters) {
         this.connection = connection;
+        this.codec = codec;
         this.counters = counters;
     }
 
@@ -136,7 +137,7 @@
 
     private void setReading(boolean enabled) {
         if (!closed) {
-            Transport.setInterest(connection, IOEvent.READ, enabled);
+            codec.setReadingPaused(connection, !enabled);
         }
     }
 
--- a/src/main/java/crankwick/transport/CodecFilter.java
+++ b/src/main/java/crankwick/transport/CodecFilter.java
@@ -32,6 +32,7 @@
     private static final long MAX_BUFFERED_BYTES = Runtime.getRuntime().maxMemory() / MAX_BUFFERED_HEAP_DIVISOR;
 
     private final AtomicLong bufferedBytes = new AtomicLong();
+    private final ReadPacer readPacer = new ReadPacer();
     private final Attribute<Decoder> decoders = Grizzly.DEFAULT_ATTRIBUTE_BUILDER.createAttribute(
             getClass().getName() + '@' + System.identityHashCode(this));
 
@@ -224,10 +225,13 @@
         return decoder != null && decoder.incompleteSinceNanos != 0;
     }
 
-    /** True if a message has been incomplete for more than {@code micros} microseconds. */
+    /**
+     * True if a message has been incomplete for more than {@code micros} microseconds and the input received by then
+     * has been read.
+     */
     public final boolean isStalled(Connection<?> connection, long micros) {
         Decoder decoder = decoders.peek(connection);
-        long since = decoder == null ? 0 : decoder.incompleteSinceNanos;
+        long since = decoder == null || decoder.unreadSinceNanos != 0 ? 0 : decoder.incompleteSinceNanos;
         return since != 0 && System.nanoTime() - since > micros * NANOS_PER_MICRO;
     }
 
@@ -240,6 +244,11 @@
         return decoder == null ? 0 : decoder.unreadSinceNanos;
     }
 
+    /** Pauses or resumes reading from a connection. Safe on any thread. */
+    public final void setReadingPaused(Connection<?> connection, boolean paused) {
+        readPacer.setPaused(connection, paused);
+    }
+
     /** Runs a task on the selector thread if the connection is still stalled after pending input is read. */
     public final void runIfStillStalled(Connection<?> connection, long micros, Runnable task) {
         Transport.afterPendingReads(connection, () -> {
@@ -265,6 +274,9 @@
         Buffer in = context.getMessage();
         Decoder decoder = decoders.peek(context.getConnection());
         decoder.recordReadSize(in.remaining());
+        if (decoder.unreadSinceNanos != 0) {
+            readPacer.onFullRead(context.getConnection());
+        }
         List<Object> messages = decoder.read(in.toByteBuffer(), context, bufferedBytes);
         in.tryDispose();
         if (messages.isEmpty()) {
--- /dev/null
+++ b/src/main/java/crankwick/transport/ReadPacer.java
@@ -0,0 +1,82 @@
+package crankwick.transport;
+
+import java.util.ArrayDeque;
+import java.util.Queue;
+import org.glassfish.grizzly.Connection;
+import org.glassfish.grizzly.Grizzly;
+import org.glassfish.grizzly.IOEvent;
+import org.glassfish.grizzly.attributes.Attribute;
+
+/**
+ * Decides which connections are read. Of those that have more input than one read returns, only a few are read in each
+ * round of the selector thread, in turn, so that the round stays short for the others.
+ */
+final class ReadPacer {
+    private static final int MAX_FULL_READS_PER_ROUND = 4;
+
+    /** Why a connection is not read at present; it is read if no reason applies. */
+    private static final class Interest {
+        private boolean waiting;
+        private boolean paused;
+    }
+
+    private final Attribute<Interest> interests = Grizzly.DEFAULT_ATTRIBUTE_BUILDER.createAttribute(
+            getClass().getName() + '@' + System.identityHashCode(this), Interest::new);
+    /** Connections that wait for a round in which they are read; used by the selector thread only. */
+    private final Queue<Connection<?>> waiting = new ArrayDeque<>();
+
+    private int fullReadsInRound;
+    private boolean roundQueued;
+
+    /** Called on the selector thread after a read that filled the read buffer. */
+    void onFullRead(Connection<?> connection) {
+        fullReadsInRound++;
+        if (fullReadsInRound > MAX_FULL_READS_PER_ROUND || !waiting.isEmpty()) {
+            waiting.add(connection);
+            setWaiting(connection, true);
+        }
+        queueRound(connection);
+    }
+
+    private void queueRound(Connection<?> connection) {
+        if (!roundQueued) {
+            roundQueued = true;
+            Transport.onSelectorThread(connection, this::beginRound);
+        }
+    }
+
+    private void beginRound() {
+        roundQueued = false;
+        fullReadsInRound = 0;
+        for (int i = 0; i < MAX_FULL_READS_PER_ROUND && !waiting.isEmpty(); i++) {
+            setWaiting(waiting.poll(), false);
+        }
+        waiting.removeIf(connection -> !connection.isOpen());
+        if (!waiting.isEmpty()) {
+            queueRound(waiting.peek());
+        }
+    }
+
+    private void setWaiting(Connection<?> connection, boolean isWaiting) {
+        Interest interest = interests.get(connection);
+        synchronized (interest) {
+            interest.waiting = isWaiting;
+            apply(connection, interest);
+        }
+    }
+
+    /** Pauses or resumes reading from a connection. Safe on any thread. */
+    void setPaused(Connection<?> connection, boolean isPaused) {
+        Interest interest = interests.get(connection);
+        synchronized (interest) {
+            interest.paused = isPaused;
+            apply(connection, interest);
+        }
+    }
+
+    private static void apply(Connection<?> connection, Interest interest) {
+        if (connection.isOpen()) {
+            Transport.setInterest(connection, IOEvent.READ, !interest.waiting && !interest.paused);
+        }
+    }
+}
