Take the turns of clients with small messages before those with large ones

Cause: a statement of 80 KB with 20,000 hints takes some 2 ms to parse. Each of 400 clients had just one, so that each counted as a client without a backlog, and a small message waited for all of them.

Why this works: a session whose next message is over 4 KB takes its turn with those that have a backlog.

Tests that run at the same time bind their programs to different cores now.

--- a/src/main/java/crankwick/client/MessageInbox.java
+++ b/src/main/java/crankwick/client/MessageInbox.java
@@ -89,6 +89,12 @@
         return received;
     }
 
+    /** The size of the next message's text; 0 if there is no message. */
+    synchronized int nextMessageBytes() {
+        ReceivedMessage next = messages.peek();
+        return next == null ? 0 : next.message.bytes();
+    }
+
     /** The number on its connection, from 1, of the message that was taken last. */
     synchronized long lastMessageNumber() {
         return messagesTaken;
--- a/src/main/java/crankwick/client/MessageScheduler.java
+++ b/src/main/java/crankwick/client/MessageScheduler.java
@@ -15,6 +15,8 @@
     private static final int MAX_MESSAGES_PER_TURN = 16;
     /** A turn ends after the message during which this time has passed. */
     private static final long MAX_TURN_NANOS = 200_000;
+    /** A larger message takes long enough to parse that sessions with small ones go first. */
+    private static final int MAX_SMALL_MESSAGE_BYTES = 4 * 1_024;
     /** How long turns may occupy the event loop before its other tasks run. */
     private static final long MAX_RUN_NANOS = 1_000_000;
 
@@ -90,13 +92,22 @@
         }
     }
 
+    /**
+     * The session whose turn it is: one that has become ready with a small message, or else the one that has waited
+     * longest with a large message or a backlog.
+     */
     private ClientSession next() {
         for (ClientSession session = closed.poll(); session != null; session = closed.poll()) {
             session.register();
             handler.onClosed(session);
         }
-        ClientSession session = arrived.poll();
-        return session == null ? backlogged.poll() : session;
+        for (ClientSession session = arrived.poll(); session != null; session = arrived.poll()) {
+            if (session.inbox.nextMessageBytes() <= MAX_SMALL_MESSAGE_BYTES) {
+                return session;
+            }
+            backlogged.add(session);
+        }
+        return backlogged.poll();
     }
 
     private void takeTurn(ClientSession session) {
--- a/src/test/java/crankwick/app/DepartedClientIT.java
+++ b/src/test/java/crankwick/app/DepartedClientIT.java
@@ -13,6 +13,7 @@
 
 /** Clients that close their connection with much of what they sent still unread. */
 public class DepartedClientIT extends BothWiresFixture {
+    private static final int CORE = 1;
     private static final int STATEMENTS_BEFORE = 5_000;
     private static final int STATEMENTS_BEHIND = 30_000;
     private static final int READS = 200;
@@ -28,7 +29,7 @@
     /** Guards against sending requests to databases after their client has closed, while its close is still unread. */
     @Test(dataProvider = "wires")
     public void requestsAreNotSentAfterTheirClientHasLeft(TestWireClient wire) throws Exception {
-        try (Deployment d = Deployment.onOneCore(wire);
+        try (Deployment d = Deployment.onOneCore(wire, CORE, Deployment.DEFAULT_SOCKETS);
                 FullSpeedSender sender = new FullSpeedSender(d, FullSpeedSender.Kind.EMPTY_STATEMENTS);
                 FullSpeedSender other = new FullSpeedSender(d, FullSpeedSender.Kind.READS_UNDER_NEW_NAMES)) {
             List<Departure> departures = new ArrayList<>();
--- a/src/test/java/crankwick/app/Deployment.java
+++ b/src/test/java/crankwick/app/Deployment.java
@@ -17,6 +17,7 @@
 
 /** Runs the program as a process, with a group of three scripted databases and the endpoint list that names them. */
 final class Deployment implements AutoCloseable {
+    static final int DEFAULT_SOCKETS = 512;
     private static final Path OPERATOR_FILE = Path.of("deploy/tds.toml");
 
     /** A client whose login and first query are complete, so that a test may leave it idle before the next query. */
@@ -98,9 +99,11 @@
         this(wire, originalText, replacementText, List.of(), "-Xmx64m");
     }
 
-    /** Starts the program on one core and with the heap that the deploy file gives it. */
-    static Deployment onOneCore(TestWireClient wire) throws IOException, InterruptedException {
-        return new Deployment(wire, "", "", List.of("taskset", "-c", ProxyProcess.lastAllowedCore()), "-Xmx48m");
+    /** Starts the program on one core, see {@link ProxyProcess#allowedCore}, with the heap of the deploy file. */
+    static Deployment onOneCore(TestWireClient wire, int core, int sockets) throws IOException, InterruptedException {
+        String limit = "sockets = ";
+        List<String> launcher = List.of("taskset", "-c", ProxyProcess.allowedCore(core));
+        return new Deployment(wire, limit + DEFAULT_SOCKETS, limit + sockets, launcher, "-Xmx48m");
     }
 
     private Deployment(
@@ -154,7 +157,8 @@
         String settings = Toml.parse(operatorFile()).getTable("settings").toJson();
         return "{\"name\":\"n0\",\"listen\":\"127.0.0.1:0\",\"discovery\":\"127.0.0.1:"
                 + discovery.port() + "\",\"seed\":\"8c1f30d27a5be964\","
-                + "\"limits\":{\"sockets\":512},\"known\":" + json(0) + ",\"settings\":" + settings + "}";
+                + "\"limits\":{\"sockets\":" + Toml.parse(operatorFile()).getLong("sockets") + "},\"known\":" + json(0)
+                + ",\"settings\":" + settings + "}";
     }
 
     private String operatorFile() throws IOException {
--- a/src/test/java/crankwick/app/FullSpeedClientsIT.java
+++ b/src/test/java/crankwick/app/FullSpeedClientsIT.java
@@ -11,6 +11,7 @@
 
 /** Clients that send at full speed, beside others: the program as a process on one core, with its usual heap. */
 public class FullSpeedClientsIT extends BothWiresFixture {
+    private static final int CORE = 0;
     private static final int SENDERS = 6;
     private static final int PACED_CLIENTS = 5;
     /** A tenth of the heap: what clients take is free again once they have left. */
@@ -35,7 +36,7 @@
     /** Guards against late or lost answers, and memory that grows, while other clients send at full speed. */
     @Test(dataProvider = "kinds")
     public void otherClientsAreAnsweredInTime(TestWireClient wire, FullSpeedSender.Kind kind) throws Exception {
-        try (Deployment d = Deployment.onOneCore(wire)) {
+        try (Deployment d = Deployment.onOneCore(wire, CORE, Deployment.DEFAULT_SOCKETS)) {
             AtomicInteger ids = new AtomicInteger();
             List<PacedClient> paced = new ArrayList<>();
             List<FullSpeedSender> senders = new ArrayList<>();
@@ -55,7 +56,8 @@
             }
             Thread.sleep(500);
             long retained = ProxyProcess.liveHeapKilobytes(d.process) - heapBefore;
-            String seen = wire.getClass().getSimpleName() + " " + kind + ": " + paced + " " + retained + " KB retained";
+            String seen = wire.getClass().getSimpleName() + " " + kind + ": " + paced + " " + retained + " KB retained "
+                    + ProxyProcess.lateLines(d.log);
             System.out.println(seen);
             assertTrue(d.process.isAlive(), seen);
             assertTrue(d.log.stream().noneMatch(line -> line.contains("OutOfMemoryError")), seen);
--- a/src/test/java/crankwick/app/ProxyProcess.java
+++ b/src/test/java/crankwick/app/ProxyProcess.java
@@ -36,13 +36,24 @@
         return builder.start();
     }
 
-    /** The last core on which this process may run. */
-    static String lastAllowedCore() throws IOException {
-        return Files.readAllLines(Path.of("/proc/self/status")).stream()
+    /**
+     * One of the cores on which this process may run, counted from the last; tests that run at the same time use
+     * different ones.
+     */
+    static String allowedCore(int fromLast) throws IOException {
+        String ranges = Files.readAllLines(Path.of("/proc/self/status")).stream()
                 .filter(line -> line.startsWith("Cpus_allowed_list:"))
-                .map(line -> line.replaceAll(".*[^0-9]", ""))
+                .map(line -> line.replaceAll(".*:\\s*", ""))
                 .findAny()
                 .orElseThrow();
+        List<Integer> cores = new ArrayList<>();
+        for (String range : ranges.split(",")) {
+            String[] ends = range.split("-");
+            for (int core = Integer.parseInt(ends[0]); core <= Integer.parseInt(ends[ends.length - 1]); core++) {
+                cores.add(core);
+            }
+        }
+        return cores.get(cores.size() - 1 - fromLast % cores.size()).toString();
     }
 
     /** Collects the output of a process in a thread that ends with it; the log must be safe for concurrent reads. */
@@ -86,4 +97,9 @@
         diagnosis.waitFor();
         return output;
     }
+
+    /** The lines in which the program reports that its threads were late. */
+    static List<String> lateLines(List<String> log) {
+        return log.stream().filter(line -> line.contains(" ms late; ")).toList();
+    }
 }
