Treat input as unread during a pause of reading, until a read after it

Cause: when reading resumed after a pause, the connection counted as read to its end until the next read, although its client's close could have waited during the whole pause.

Evidence: DepartedClientIT failed once in a run beside two other test classes, with five attempts for departed clients.

Why this works: ReadPacer keeps since when input may be unread; a pause begins that time, and it ends with a read that gets all, or when pending reads have been made after the pause and nothing had arrived.

--- a/src/main/java/crankwick/transport/CodecFilter.java
+++ b/src/main/java/crankwick/transport/CodecFilter.java
@@ -51,12 +51,6 @@
          * then that also completed a message; 0 while no message is incomplete.
          */
         private volatile long incompleteSinceNanos;
-        /**
-         * The {@link System#nanoTime} of the first read since then that filled the read buffer, so that the peer's
-         * socket may have had further input ever since; 0 while there was none at the last read.
-         */
-        private volatile long unreadSinceNanos;
-
         /**
          * Decodes a message from the buffer's position; returns false if it is incomplete. Throws
          * IllegalArgumentException with the fault if it is malformed.
@@ -104,14 +98,6 @@
             inputExpected = true;
         }
 
-        private void recordReadSize(int bytes) {
-            if (bytes < Transport.READ_BUFFER_BYTES) {
-                unreadSinceNanos = 0;
-            } else if (unreadSinceNanos == 0) {
-                unreadSinceNanos = System.nanoTime();
-            }
-        }
-
         private synchronized List<Object> read(ByteBuffer in, FilterChainContext context, AtomicLong budget) {
             if (inputDropped) {
                 return List.of();
@@ -231,17 +217,16 @@
      */
     public final boolean isStalled(Connection<?> connection, long micros) {
         Decoder decoder = decoders.peek(connection);
-        long since = decoder == null || decoder.unreadSinceNanos != 0 ? 0 : decoder.incompleteSinceNanos;
+        long since = decoder == null || unreadSinceNanos(connection) != 0 ? 0 : decoder.incompleteSinceNanos;
         return since != 0 && System.nanoTime() - since > micros * NANOS_PER_MICRO;
     }
 
     /**
      * The {@link System#nanoTime} since when the connection may have had unread input, because reading has not reached
-     * its end; 0 if the last read did. What the peer sent last, such as its close, may be unknown since then.
+     * its end or is paused; 0 if all is read. What the peer sent last, such as its close, may be unknown since then.
      */
     public final long unreadSinceNanos(Connection<?> connection) {
-        Decoder decoder = decoders.peek(connection);
-        return decoder == null ? 0 : decoder.unreadSinceNanos;
+        return readPacer.unreadSinceNanos(connection);
     }
 
     /** Pauses or resumes reading from a connection. Safe on any thread. */
@@ -272,12 +257,8 @@
     @Override
     public final NextAction handleRead(FilterChainContext context) throws IOException {
         Buffer in = context.getMessage();
-        Decoder decoder = decoders.peek(context.getConnection());
-        decoder.recordReadSize(in.remaining());
-        if (decoder.unreadSinceNanos != 0) {
-            readPacer.onFullRead(context.getConnection());
-        }
-        List<Object> messages = decoder.read(in.toByteBuffer(), context, bufferedBytes);
+        readPacer.onRead(context.getConnection(), in.remaining());
+        List<Object> messages = decoders.peek(context.getConnection()).read(in.toByteBuffer(), context, bufferedBytes);
         in.tryDispose();
         if (messages.isEmpty()) {
             return context.getStopAction();
--- a/src/main/java/crankwick/transport/ReadPacer.java
+++ b/src/main/java/crankwick/transport/ReadPacer.java
@@ -18,6 +18,13 @@
     private static final class Interest {
         private boolean waiting;
         private boolean paused;
+        private long reads;
+        /** Since when there may have been unread input; 0 if the last read reached its end. */
+        private long unreadSinceNanos;
+
+        private void markUnread() {
+            unreadSinceNanos = unreadSinceNanos == 0 ? System.nanoTime() : unreadSinceNanos;
+        }
     }
 
     private final Attribute<Interest> interests = Grizzly.DEFAULT_ATTRIBUTE_BUILDER.createAttribute(
@@ -28,8 +35,24 @@
     private int fullReadsInRound;
     private boolean roundQueued;
 
-    /** Called on the selector thread after a read that filled the read buffer. */
-    void onFullRead(Connection<?> connection) {
+    /** Called on the selector thread after each read. */
+    void onRead(Connection<?> connection, int bytes) {
+        boolean full = bytes >= Transport.READ_BUFFER_BYTES;
+        Interest interest = interests.get(connection);
+        synchronized (interest) {
+            interest.reads++;
+            if (full || interest.paused) {
+                interest.markUnread();
+            } else {
+                interest.unreadSinceNanos = 0;
+            }
+        }
+        if (full) {
+            pace(connection);
+        }
+    }
+
+    private void pace(Connection<?> connection) {
         fullReadsInRound++;
         if (fullReadsInRound > MAX_FULL_READS_PER_ROUND || !waiting.isEmpty()) {
             waiting.add(connection);
@@ -71,6 +94,29 @@
         synchronized (interest) {
             interest.paused = isPaused;
             apply(connection, interest);
+            if (isPaused) {
+                interest.markUnread();
+            } else {
+                long reads = interest.reads;
+                Transport.afterPendingReads(connection, () -> markReadIfSilent(interest, reads));
+            }
+        }
+    }
+
+    /** Records that nothing arrived during a pause, if nothing has been read since it ended. */
+    private static void markReadIfSilent(Interest interest, long readsAtResumption) {
+        synchronized (interest) {
+            if (interest.reads == readsAtResumption && !interest.waiting && !interest.paused) {
+                interest.unreadSinceNanos = 0;
+            }
+        }
+    }
+
+    /** The {@link System#nanoTime} since when the connection may have had unread input; 0 if the last read got all. */
+    long unreadSinceNanos(Connection<?> connection) {
+        Interest interest = interests.get(connection);
+        synchronized (interest) {
+            return interest.unreadSinceNanos;
         }
     }
 
