Limit the requests that a client may have open in the router while others need room

Callers saw: late answers, and at worst lost ones, while others sent sound requests under ever new ids at full speed.

Cause: the router looks at all queued requests of a group on most events, so that six clients with 1,024 open requests each make every event slow. Class: work on the event loop that grows faster than the input that causes it.

Why this works: a client may have four times as many requests in the router as are left of 320, and always four; a single one gets 256. Its further requests wait in its inbox, unparsed. They lose nothing by that: answers come in the order of the commands, so that theirs had to wait for the same requests. Cancelled ones are dropped when their turn comes.

--- a/src/main/java/crankwick/client/ClientListener.java
+++ b/src/main/java/crankwick/client/ClientListener.java
@@ -65,7 +65,7 @@
         this.codec = codec;
         Reply overLimitReply = overLimitReply(settings.routing().limits());
         acceptLimiter = new AcceptLimiter(settings.maxSessions());
-        requests = new OpenRequests(broker);
+        requests = new OpenRequests(broker, this::onRequestFinished);
         sessions = new SessionTable(loop, requests, counters, new CloseLog(clock, counters), settings.maxSessions());
         writer = new OrderedReplyWriter(loop, clock, sessions, requests, counters, overLimitReply);
         admission = new CommandAdmission(broker, clock, settings, sessions, requests, writer, overLimitReply);
@@ -153,6 +153,10 @@
         }
     }
 
+    private void onRequestFinished() {
+        scheduler.onRequestFinished();
+    }
+
     private void onAccepted(ClientSession session) {
         session.idleSinceMicros = clock.now();
         if (!sessions.add(session)) {
@@ -171,6 +175,11 @@
             ClientListener.this.onAccepted(session);
         }
 
+        @Override
+        public boolean mustWait(ClientSession session) {
+            return admission.mustWait(session);
+        }
+
         @Override
         public void beginTurn(ClientSession session) {
             writer.beginTurn(session);
--- a/src/main/java/crankwick/client/ClientSession.java
+++ b/src/main/java/crankwick/client/ClientSession.java
@@ -53,6 +53,9 @@
      */
     boolean closePending;
 
+    /** The session's requests that are neither answered nor abandoned; maintained by {@link OpenRequests}. */
+    int openRequests;
+
     /** Whether ready replies are written only at the end of the session's current turn. */
     boolean flushDeferred;
 
@@ -221,12 +224,13 @@
 
     /** True if the client may have closed or cancelled so long ago that no request of it may be sent. */
     boolean hasLongUnreadInput() {
-        long now = System.nanoTime();
-        return isLongAgo(codec.unreadSinceNanos(connection), now) || isLongAgo(inbox.readPausedSinceNanos(), now);
+        long sinceNanos = codec.unreadSinceNanos(connection);
+        return sinceNanos != 0 && System.nanoTime() - sinceNanos > MAX_UNREAD_INPUT_NANOS;
     }
 
-    private static boolean isLongAgo(long sinceNanos, long now) {
-        return sinceNanos != 0 && now - sinceNanos > MAX_UNREAD_INPUT_NANOS;
+    /** True if the next unprocessed message is a query that the client has not cancelled. */
+    synchronized boolean isNextMessageLiveQuery() {
+        return inbox.isNextQuery() && !isAbandoned(inbox.lastMessageNumber() + 1);
     }
 
     /** True if a message has been read whose reply is not written yet. */
--- a/src/main/java/crankwick/client/CommandAdmission.java
+++ b/src/main/java/crankwick/client/CommandAdmission.java
@@ -72,6 +72,11 @@
         shutdownDeadlineMicros = deadlineMicros;
     }
 
+    /** Whether the session's next message is a request that must wait until others are finished. */
+    boolean mustWait(ClientSession session) {
+        return !session.closing && session.isNextMessageLiveQuery() && requests.isWindowFull(session);
+    }
+
     /** Processes a message, or several that share an entry. */
     void onMessage(ClientSession session, ReceivedMessage received) {
         ClientMessage message = received.message;
@@ -122,6 +127,10 @@
     }
 
     private void onQuery(ClientSession session, ClientMessage.Query query, long number, long readAt) {
+        if (session.isAbandoned(number)) {
+            session.onAnswered(query, 1);
+            return;
+        }
         if (session.hasLongUnreadInput()) {
             session.countOverLimitCommand();
             ClientCommand unsendable = new ClientCommand(session, requests.nextId(), null, query, number, readAt);
--- a/src/main/java/crankwick/client/MessageInbox.java
+++ b/src/main/java/crankwick/client/MessageInbox.java
@@ -89,6 +89,11 @@
         return received;
     }
 
+    synchronized boolean isNextQuery() {
+        ReceivedMessage next = messages.peek();
+        return next != null && next.message instanceof ClientMessage.Query;
+    }
+
     /** The size of the next message's text; 0 if there is no message. */
     synchronized int nextMessageBytes() {
         ReceivedMessage next = messages.peek();
@@ -119,11 +124,6 @@
         }
     }
 
-    /** The {@link System#nanoTime} since when reading has been paused; 0 if it is not. */
-    synchronized long readPausedSinceNanos() {
-        return readPaused ? readPausedAtNanos : 0;
-    }
-
     /** Drops all messages of a connection that has closed. */
     synchronized void close() {
         closed = true;
--- a/src/main/java/crankwick/client/MessageScheduler.java
+++ b/src/main/java/crankwick/client/MessageScheduler.java
@@ -17,6 +17,8 @@
     private static final long MAX_TURN_NANOS = 200_000;
     /** A larger message takes long enough to parse that sessions with small ones go first. */
     private static final int MAX_SMALL_MESSAGE_BYTES = 4 * 1_024;
+
+    private static final int MAX_RESUMED_SESSIONS = 4;
     /** How long turns may occupy the event loop before its other tasks run. */
     private static final long MAX_RUN_NANOS = 1_000_000;
 
@@ -25,6 +27,9 @@
         /** Called before the first message of a session. */
         void onAccepted(ClientSession session);
 
+        /** Whether the session's next message must wait until a request, of this or another session, is finished. */
+        boolean mustWait(ClientSession session);
+
         /** Called before the messages of a turn. */
         void beginTurn(ClientSession session);
 
@@ -47,6 +52,8 @@
     private final Queue<ClientSession> closed = new ConcurrentLinkedQueue<>();
 
     private final ArrayDeque<ClientSession> backlogged = new ArrayDeque<>();
+    /** Sessions whose next message must wait until requests are finished. */
+    private final ArrayDeque<ClientSession> waiting = new ArrayDeque<>();
     /** Whether a run is queued on the event loop or in progress. */
     private final AtomicBoolean runQueued = new AtomicBoolean();
 
@@ -118,7 +125,7 @@
             }
             handler.beginTurn(session);
             for (int messages = 0; messages < MAX_MESSAGES_PER_TURN; messages++) {
-                ReceivedMessage received = session.inbox.poll();
+                ReceivedMessage received = handler.mustWait(session) ? null : session.inbox.poll();
                 if (received == null) {
                     break;
                 }
@@ -130,8 +137,18 @@
         } finally {
             handler.endTurn(session);
             if (!session.inbox.unmarkScheduledIfEmpty()) {
-                backlogged.add(session);
+                (handler.mustWait(session) ? waiting : backlogged).add(session);
             }
         }
     }
+
+    /** Lets some of the waiting sessions check again whether they must wait. Called when a request is finished. */
+    void onRequestFinished() {
+        for (int sessions = 0; sessions < MAX_RESUMED_SESSIONS && !waiting.isEmpty(); sessions++) {
+            backlogged.add(waiting.poll());
+        }
+        if (!backlogged.isEmpty()) {
+            queueRun();
+        }
+    }
 }
--- a/src/main/java/crankwick/client/OpenRequests.java
+++ b/src/main/java/crankwick/client/OpenRequests.java
@@ -10,12 +10,31 @@
 
 /** The requests of all sessions that are neither answered nor abandoned, by id. Confined to the event loop. */
 final class OpenRequests {
+    /**
+     * The router looks at all its requests on many events, so that its work grows with their number. A session may
+     * have this many times as many requests open as are left of {@link #MAX_SHARED_REQUESTS}.
+     */
+    private static final int SHARE_OF_FREE_REQUESTS = 4;
+
+    private static final int MAX_SHARED_REQUESTS = 320;
+    /** The requests that each session may have open, however many others have. */
+    private static final int MIN_REQUESTS_PER_SESSION = 4;
+
     private final BrokerEventSink broker;
+    private final Runnable onFinished;
     private final Map<Long, ClientCommand> commandsById = new HashMap<>();
     private long lastId;
 
-    OpenRequests(BrokerEventSink broker) {
+    /** {@code onFinished} is called whenever a request has been answered or abandoned. */
+    OpenRequests(BrokerEventSink broker, Runnable onFinished) {
         this.broker = broker;
+        this.onFinished = onFinished;
+    }
+
+    /** Whether the session must wait with its next request until others are finished. */
+    boolean isWindowFull(ClientSession session) {
+        int free = Math.max(0, MAX_SHARED_REQUESTS - commandsById.size());
+        return session.openRequests >= Math.max(MIN_REQUESTS_PER_SESSION, SHARE_OF_FREE_REQUESTS * free);
     }
 
     /** Returns an id that is unique among the listener's commands. */
@@ -25,6 +44,7 @@
 
     void add(ClientCommand command) {
         commandsById.put(command.requestId, command);
+        command.session.openRequests++;
     }
 
     /** Returns the command of a request; null if the request is answered or abandoned. */
@@ -34,7 +54,12 @@
 
     /** Removes a request and returns its command; null if the request is already answered or abandoned. */
     ClientCommand remove(long requestId) {
-        return commandsById.remove(requestId);
+        ClientCommand command = commandsById.remove(requestId);
+        if (command != null) {
+            command.session.openRequests--;
+            onFinished.run();
+        }
+        return command;
     }
 
     /**
@@ -47,7 +72,7 @@
         for (ClientCommand command : abandoned) {
             session.onAnswered(command.message, command.pendingReplies);
             session.releaseReply(command.reply == null ? 0 : command.reply.valueBytes());
-            if (commandsById.remove(command.requestId) != null) {
+            if (remove(command.requestId) != null) {
                 broker.publish(new BrokerEvent.RequestAbandoned(command.requestId, reason));
             }
         }
