Take a short read for the end of input only if it is small or silence follows

Cause: a read that did not fill the buffer counted as the end of what the client had sent. But its machine still holds what did not fit into the proxy's socket, the close included; on loopback a segment has 65,483 bytes, so that the fourth read of one is 53 bytes short. And a client with unread input was refused before its statement was looked at.

Why this works: input counts as read to its end after a read of at most 1 KB, or after 5 ms without any. Unreadable statements get their error first; only sound requests are refused.

--- a/src/main/java/crankwick/client/CommandAdmission.java
+++ b/src/main/java/crankwick/client/CommandAdmission.java
@@ -131,12 +131,6 @@
             session.onAnswered(query, 1);
             return;
         }
-        if (session.hasLongUnreadInput()) {
-            session.countOverLimitCommand();
-            ClientCommand unsendable = new ClientCommand(session, requests.nextId(), null, query, number, readAt);
-            add(unsendable, new ClientReply.RequestReply(overLimitReply));
-            return;
-        }
         Statement statement;
         try {
             statement = decoder.decode(query.text());
@@ -146,6 +140,11 @@
             return;
         }
         ClientCommand command = new ClientCommand(session, requests.nextId(), statement, query, number, readAt);
+        if (session.hasLongUnreadInput()) {
+            session.countOverLimitCommand();
+            add(command, new ClientReply.RequestReply(overLimitReply));
+            return;
+        }
         requests.add(command);
         add(command, null);
         // The timeout counts from when the command was read; the loop may have processed it late.
--- a/src/main/java/crankwick/transport/ReadPacer.java
+++ b/src/main/java/crankwick/transport/ReadPacer.java
@@ -13,13 +13,21 @@
  */
 final class ReadPacer {
     private static final int MAX_FULL_READS_PER_ROUND = 4;
+    /**
+     * A read of more bytes may be followed by input that the peer has sent and its machine still holds, although the
+     * read did not fill the buffer.
+     */
+    private static final int MAX_LAST_READ_BYTES = 1_024;
+    /** After this time without input, reading has reached the end of what the peer has sent. */
+    private static final long QUIET_NANOS = 5_000_000;
 
     /** Why a connection is not read at present; it is read if no reason applies. */
     private static final class Interest {
         private boolean waiting;
         private boolean paused;
-        private long reads;
-        /** Since when there may have been unread input; 0 if the last read reached its end. */
+        /** When the connection was last read, or reading was last resumed. */
+        private long readAtNanos;
+        /** Since when there may have been unread input; 0 if reading has reached its end. */
         private long unreadSinceNanos;
 
         private void markUnread() {
@@ -40,10 +48,10 @@
         boolean full = bytes >= Transport.READ_BUFFER_BYTES;
         Interest interest = interests.get(connection);
         synchronized (interest) {
-            interest.reads++;
+            interest.readAtNanos = System.nanoTime();
             if (full || interest.paused) {
                 interest.markUnread();
-            } else {
+            } else if (bytes <= MAX_LAST_READ_BYTES) {
                 interest.unreadSinceNanos = 0;
             }
         }
@@ -84,6 +92,7 @@
         Interest interest = interests.get(connection);
         synchronized (interest) {
             interest.waiting = isWaiting;
+            interest.readAtNanos = System.nanoTime();
             apply(connection, interest);
         }
     }
@@ -93,29 +102,22 @@
         Interest interest = interests.get(connection);
         synchronized (interest) {
             interest.paused = isPaused;
+            interest.readAtNanos = System.nanoTime();
             apply(connection, interest);
             if (isPaused) {
                 interest.markUnread();
-            } else {
-                long reads = interest.reads;
-                Transport.afterPendingReads(connection, () -> markReadIfSilent(interest, reads));
             }
         }
     }
 
-    /** Records that nothing arrived during a pause, if nothing has been read since it ended. */
-    private static void markReadIfSilent(Interest interest, long readsAtResumption) {
-        synchronized (interest) {
-            if (interest.reads == readsAtResumption && !interest.waiting && !interest.paused) {
-                interest.unreadSinceNanos = 0;
-            }
-        }
-    }
-
-    /** The {@link System#nanoTime} since when the connection may have had unread input; 0 if the last read got all. */
+    /** The {@link System#nanoTime} since when there may have been unread input; 0 if reading has reached its end. */
     long unreadSinceNanos(Connection<?> connection) {
         Interest interest = interests.get(connection);
         synchronized (interest) {
+            boolean read = !interest.waiting && !interest.paused;
+            if (read && System.nanoTime() - interest.readAtNanos > QUIET_NANOS) {
+                interest.unreadSinceNanos = 0;
+            }
             return interest.unreadSinceNanos;
         }
     }
