Share clients' memory budgets fairly, and count all that a command and a reply take

Callers saw: with hundreds of clients that do not read their answers, others were refused for memory (53300, 50106).

Cause: the budget for open commands counted the text of statements only, so that an empty statement was free, and the first clients could take all of it and keep it by not reading. What was written ahead of a client had a limit for each connection, 256 KB, but none for all together: 430 connections, 110 MB.

Why this works: each command counts 512 bytes more; a connection may take a quarter of what is left, and always a 1,024th of the budget. Replies handed to the transport have a budget of an eighth of the heap; a connection whose unwritten replies exceed what is left waits, and one with none may always write one.

--- a/src/main/java/crankwick/client/ClientListener.java
+++ b/src/main/java/crankwick/client/ClientListener.java
@@ -33,11 +33,6 @@
  */
 public final class ClientListener {
     private static final Logger LOG = LoggerFactory.getLogger(ClientListener.class);
-    /** The budget, shared by all connections, for the statements of commands whose replies are not written yet. */
-    private static final long MAX_STATEMENT_BYTES = Runtime.getRuntime().maxMemory() / 6;
-    /** The budget, shared by all connections, for the values of replies that are not written yet. */
-    private static final long MAX_REPLY_BYTES = Runtime.getRuntime().maxMemory() / 4;
-
     private static final long OVER_LIMIT_RETRY_AFTER_MICROS = 100_000;
 
     private final EventLoop loop;
@@ -46,8 +41,7 @@
     private final Attribute<ClientSession> sessionOfConnection = Grizzly.DEFAULT_ATTRIBUTE_BUILDER.createAttribute(
             getClass().getName() + '@' + System.identityHashCode(this));
     private final ClientCounters counters = new ClientCounters();
-    private final ByteBudget statementBudget = new ByteBudget(MAX_STATEMENT_BYTES);
-    private final ByteBudget replyBudget = new ByteBudget(MAX_REPLY_BYTES);
+    private final ClientBudgets budgets = new ClientBudgets();
     private final AcceptLimiter acceptLimiter;
     private final OpenRequests requests;
     private final SessionTable sessions;
@@ -137,7 +131,8 @@
 
     /** The counters of client connections, formatted for a log line. */
     public String counters() {
-        return counters + " open_bytes=" + statementBudget.reserved() + " answer_bytes=" + replyBudget.reserved();
+        return counters + " open_bytes=" + budgets.statements().reserved() + " answer_bytes="
+                + budgets.replies().reserved();
     }
 
     /** The command of an unanswered request; null if the request is answered or abandoned. */
@@ -209,7 +204,7 @@
         @Override
         public NextAction handleAccept(FilterChainContext context) {
             Connection<SocketAddress> connection = Transport.connection(context);
-            ClientSession session = new ClientSession(connection, codec, statementBudget, replyBudget, counters);
+            ClientSession session = new ClientSession(connection, codec, budgets, counters);
             counters.countAccepted();
             sessionOfConnection.set(connection, session);
             acceptLimiter.onAccepted();
--- a/src/main/java/crankwick/client/ClientSession.java
+++ b/src/main/java/crankwick/client/ClientSession.java
@@ -17,6 +17,9 @@
  */
 final class ClientSession {
     private static final long NANOS_PER_MILLI = 1_000_000;
+    /** The size that is counted for a command in addition to its statement; an upper bound. */
+    private static final int COMMAND_OVERHEAD_BYTES = 512;
+
     private static final int MAX_OPEN_COMMANDS = 1_024;
     private static final long MAX_OPEN_STATEMENT_BYTES = 1 << 20;
     /**
@@ -64,8 +67,7 @@
     long lingerUntilMicros;
 
     private final CodecFilter codec;
-    private final ByteBudget statementBudget;
-    private final ByteBudget replyBudget;
+    private final ClientBudgets budgets;
     private final ClientCounters counters;
     /**
      * Messages that have been read and whose replies are not written yet, of every kind; {@link #openCommands} counts
@@ -75,6 +77,8 @@
 
     private int openCommands;
     private long openStatementBytes;
+    /** The bytes that the session has reserved for its open commands and their statements. */
+    private long reservedCommandBytes;
     /**
      * The bytes of the reply budget that this session has reserved for the values of replies that are not written yet.
      */
@@ -100,16 +104,11 @@
     private CloseReason closeReason;
 
     ClientSession(
-            Connection<SocketAddress> connection,
-            CodecFilter codec,
-            ByteBudget statementBudget,
-            ByteBudget replyBudget,
-            ClientCounters counters) {
+            Connection<SocketAddress> connection, CodecFilter codec, ClientBudgets budgets, ClientCounters counters) {
         this.connection = connection;
         this.codec = codec;
         inbox = new MessageInbox(connection, codec, counters);
-        this.statementBudget = statementBudget;
-        this.replyBudget = replyBudget;
+        this.budgets = budgets;
         this.counters = counters;
     }
 
@@ -143,13 +142,14 @@
         int bytes = message.bytes();
         boolean fits = openCommands < MAX_OPEN_COMMANDS
                 && openStatementBytes + bytes <= MAX_OPEN_STATEMENT_BYTES
-                && statementBudget.reserve(bytes);
+                && budgets.statements().reserveFairShare(bytes + COMMAND_OVERHEAD_BYTES, reservedCommandBytes);
         if (!fits) {
             countOverLimitCommand();
             return new ClientMessage.OverLimit();
         }
         openCommands++;
         openStatementBytes += bytes;
+        reservedCommandBytes += bytes + COMMAND_OVERHEAD_BYTES;
         return message;
     }
 
@@ -161,7 +161,8 @@
         unansweredMessages -= count;
         if (message instanceof ClientMessage.Query || message instanceof ClientMessage.EmptyQuery) {
             openCommands--;
-            releaseStatement(message.bytes());
+            openStatementBytes -= message.bytes();
+            releaseCommands(message.bytes() + COMMAND_OVERHEAD_BYTES);
         }
     }
 
@@ -169,11 +170,11 @@
         counters.countOverLimitCommand();
     }
 
-    private void releaseStatement(long bytes) {
+    private void releaseCommands(long bytes) {
         // Guards against a double release: after onClosed(), which releases all bytes of the session, none are left.
-        long reserved = Math.min(bytes, openStatementBytes);
-        openStatementBytes -= reserved;
-        statementBudget.release(reserved);
+        long released = Math.min(bytes, reservedCommandBytes);
+        reservedCommandBytes -= released;
+        budgets.statements().release(released);
     }
 
     /**
@@ -184,7 +185,8 @@
         if (closed) {
             return true;
         }
-        boolean fits = replyBytes + bytes <= replyBudget.maxPerConnection() && replyBudget.reserve(bytes);
+        boolean fits = replyBytes + bytes <= budgets.replies().maxPerConnection()
+                && budgets.replies().reserve(bytes);
         replyBytes += fits ? bytes : 0;
         return fits;
     }
@@ -195,7 +197,7 @@
      */
     synchronized void reserveReplyUnchecked(long bytes) {
         if (!closed) {
-            replyBudget.reserveUnchecked(bytes);
+            budgets.replies().reserveUnchecked(bytes);
             replyBytes += bytes;
         }
     }
@@ -204,7 +206,7 @@
     synchronized void releaseReply(long bytes) {
         long reserved = Math.min(bytes, replyBytes);
         replyBytes -= reserved;
-        replyBudget.release(reserved);
+        budgets.replies().release(reserved);
     }
 
     /**
@@ -214,7 +216,8 @@
     synchronized void onClosed() {
         closed = true;
         inbox.close();
-        releaseStatement(openStatementBytes);
+        releaseCommands(reservedCommandBytes);
+        budgets.unwritten().release(unwrittenBytes);
         releaseReply(replyBytes);
     }
 
@@ -272,13 +275,16 @@
      * resume.
      */
     synchronized boolean mayWrite() {
-        writeBlocked = unwrittenBytes >= MAX_UNWRITTEN_BYTES;
+        long share =
+                Math.min(MAX_UNWRITTEN_BYTES, Math.max(1, budgets.unwritten().free()));
+        writeBlocked = unwrittenBytes >= share;
         return !writeBlocked;
     }
 
     synchronized void onWriteQueued(long bytes, long now) {
         unwrittenSinceMicros = unwrittenReplies++ == 0 ? now : unwrittenSinceMicros;
         unwrittenBytes += bytes;
+        budgets.unwritten().reserveUnchecked(closed ? 0 : bytes);
     }
 
     /**
@@ -288,6 +294,7 @@
     synchronized boolean onWritten(long bytes, long now) {
         unwrittenReplies--;
         unwrittenBytes -= bytes;
+        budgets.unwritten().release(closed ? 0 : bytes);
         unwrittenSinceMicros = now;
         boolean unblocked = writeBlocked && unwrittenBytes <= MAX_UNWRITTEN_BYTES / 2;
         writeBlocked &= !unblocked;
