Write at most 64 replies of a client in one turn

Callers saw: answers up to 5 s late while hundreds of clients sent empty statements and read no answers.

Cause: consecutive commands over the limits share an entry, so that one message could make thousands of replies ready, and a flush wrote as many as the socket took, up to 1,024 at a time, for each of 430 clients in turn. The event loop was not late, as it ran other tasks between the turns.

Why this works: a flush ends after 64 replies, and the session takes another turn for the rest, behind those that are waiting with small messages.

The tests print the log lines of late requests.

--- a/src/main/java/crankwick/client/ClientListener.java
+++ b/src/main/java/crankwick/client/ClientListener.java
@@ -65,6 +65,7 @@
         admission = new CommandAdmission(broker, clock, settings, sessions, requests, writer, overLimitReply);
         sweeper = new IdleSweeper(loop, clock, codec, sessions, writer);
         scheduler = new MessageScheduler(loop, new SessionMessageHandler());
+        writer.onRepliesLeft(scheduler::scheduleReplies);
     }
 
     private static Reply overLimitReply(RoutingLimits limits) {
--- a/src/main/java/crankwick/client/ClientSession.java
+++ b/src/main/java/crankwick/client/ClientSession.java
@@ -56,6 +56,12 @@
      */
     boolean closePending;
 
+    /** Whether more replies are ready than the last flush wrote, so that the session needs another turn. */
+    boolean repliesLeft;
+
+    /** Whether the session waits in the {@link MessageScheduler} until requests are finished. */
+    boolean waitsForRequests;
+
     /** The session's requests that are neither answered nor abandoned; maintained by {@link OpenRequests}. */
     int openRequests;
 
--- a/src/main/java/crankwick/client/MessageScheduler.java
+++ b/src/main/java/crankwick/client/MessageScheduler.java
@@ -70,6 +70,13 @@
         }
     }
 
+    /** Schedules a session that has more replies ready than were written at once. Called on the event loop. */
+    void scheduleReplies(ClientSession session) {
+        session.inbox.markScheduled();
+        backlogged.add(session);
+        queueRun();
+    }
+
     /** Schedules the end of a session whose connection has closed. Safe on any thread. */
     void scheduleClosed(ClientSession session) {
         closed.add(session);
@@ -119,6 +126,7 @@
 
     private void takeTurn(ClientSession session) {
         long startNanos = System.nanoTime();
+        session.repliesLeft = false;
         try {
             if (session.register()) {
                 handler.onAccepted(session);
@@ -136,16 +144,27 @@
             }
         } finally {
             handler.endTurn(session);
-            if (!session.inbox.unmarkScheduledIfEmpty()) {
-                (handler.mustWait(session) ? waiting : backlogged).add(session);
+            if (!session.repliesLeft && !session.inbox.unmarkScheduledIfEmpty()) {
+                scheduleNextTurn(session);
             }
         }
     }
 
+    private void scheduleNextTurn(ClientSession session) {
+        if (!handler.mustWait(session)) {
+            backlogged.add(session);
+        } else if (!session.waitsForRequests) {
+            session.waitsForRequests = true;
+            waiting.add(session);
+        }
+    }
+
     /** Lets some of the waiting sessions check again whether they must wait. Called when a request is finished. */
     void onRequestFinished() {
         for (int sessions = 0; sessions < MAX_RESUMED_SESSIONS && !waiting.isEmpty(); sessions++) {
-            backlogged.add(waiting.poll());
+            ClientSession session = waiting.poll();
+            session.waitsForRequests = false;
+            backlogged.add(session);
         }
         if (!backlogged.isEmpty()) {
             queueRun();
--- a/src/main/java/crankwick/client/OrderedReplyWriter.java
+++ b/src/main/java/crankwick/client/OrderedReplyWriter.java
@@ -8,6 +8,7 @@
 import java.net.SocketAddress;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.function.Consumer;
 import org.glassfish.grizzly.EmptyCompletionHandler;
 import org.glassfish.grizzly.WriteResult;
 
@@ -18,6 +19,8 @@
 final class OrderedReplyWriter {
     /** The size that is counted for a reply in addition to its value; an upper bound. */
     private static final int REPLY_OVERHEAD_BYTES = 256;
+    /** Limits the time of one flush, as commands over the limits can have thousands of replies ready at once. */
+    private static final int MAX_REPLIES_PER_FLUSH = 64;
     /** A batch of replies is written once its replies, counted with their overhead, have this size. */
     private static final long MAX_BATCH_BYTES = 16 * 1_024;
     /**
@@ -32,6 +35,7 @@
     private final OpenRequests requests;
     private final ClientCounters counters;
     private final Reply overLimitReply;
+    private Consumer<ClientSession> repliesLeftAction;
     private boolean shuttingDown;
 
     /** {@code overLimitReply} replaces a read's reply that exceeds the reply budget. */
@@ -59,6 +63,11 @@
         return shuttingDown;
     }
 
+    /** Sets the action for a session that has more replies ready than one flush writes; it must flush again. */
+    void onRepliesLeft(Consumer<ClientSession> action) {
+        repliesLeftAction = action;
+    }
+
     /** Defers the writes of a session until {@link #endTurn}, so that the replies of a turn are written at once. */
     void beginTurn(ClientSession session) {
         session.flushDeferred = true;
@@ -133,7 +142,8 @@
 
     private void writeReady(ClientSession session) {
         ReplyBatch batch = new ReplyBatch(session);
-        while (mayWriteNext(session)) {
+        int replies = 0;
+        while (mayWriteNext(session) && replies++ < MAX_REPLIES_PER_FLUSH) {
             ClientCommand command = session.commands.peek();
             if (--command.pendingReplies == 0) {
                 session.commands.poll();
@@ -148,6 +158,11 @@
             batch = batch.add(command);
         }
         batch.write();
+        boolean repliesLeft = mayWriteNext(session);
+        if (repliesLeft && !session.repliesLeft) {
+            repliesLeftAction.accept(session);
+        }
+        session.repliesLeft = repliesLeft;
     }
 
     private static boolean mayWriteNext(ClientSession session) {
--- a/src/test/java/crankwick/app/CrowdIT.java
+++ b/src/test/java/crankwick/app/CrowdIT.java
@@ -35,6 +35,8 @@
         STOPS_WITHIN_A_LARGE_REQUEST,
         WRITES_SLOWLY,
         SENDS_MANY_SHORT_HINTS,
+        /** Sends a large request, reads its answer and stays connected. */
+        STAYS_AFTER_A_LARGE_REQUEST,
         /** Sends 500 readable writes at once and leaves. */
         SENDS_A_BURST_AND_LEAVES,
         READS_NO_ANSWERS
@@ -82,7 +84,8 @@
             String seen =
                     wire.getClass().getSimpleName() + " " + behaviour + ": " + paced + " " + maxResidentKilobytes(d)
                             + " KB at most, " + ProxyProcess.liveHeapKilobytes(d.process) + " KB left "
-                            + ProxyProcess.lateLines(d.log);
+                            + ProxyProcess.lateLines(d.log)
+                            + paced.stream().map(PacedClient::trace).toList();
             System.out.println(seen);
             assertTrue(d.process.isAlive(), seen);
             assertTrue(d.log.stream().noneMatch(line -> line.contains("OutOfMemoryError")), seen);
@@ -140,6 +143,10 @@
                 out.write(wire.encodeCommand("/*" + "a=1,".repeat(LARGE_CHARS / 4) + "*/ SELECT 1", 0));
                 socket.getInputStream().read();
             }
+            case STAYS_AFTER_A_LARGE_REQUEST -> {
+                out.write(wire.encodeCommand("/*" + "x".repeat(LARGE_CHARS) + "*/ SELECT 1", 0));
+                socket.getInputStream().transferTo(OutputStream.nullOutputStream());
+            }
             case SENDS_A_BURST_AND_LEAVES -> {
                 StringBuilder burst = new StringBuilder();
                 for (int i = 0; i < BURST; i++) {
--- a/src/test/java/crankwick/app/FullSpeedClientsIT.java
+++ b/src/test/java/crankwick/app/FullSpeedClientsIT.java
@@ -57,7 +57,8 @@
             Thread.sleep(500);
             long retained = ProxyProcess.liveHeapKilobytes(d.process) - heapBefore;
             String seen = wire.getClass().getSimpleName() + " " + kind + ": " + paced + " " + retained + " KB retained "
-                    + ProxyProcess.lateLines(d.log);
+                    + ProxyProcess.lateLines(d.log)
+                    + paced.stream().map(PacedClient::trace).toList();
             System.out.println(seen);
             assertTrue(d.process.isAlive(), seen);
             assertTrue(d.log.stream().noneMatch(line -> line.contains("OutOfMemoryError")), seen);
--- a/src/test/java/crankwick/app/PacedClient.java
+++ b/src/test/java/crankwick/app/PacedClient.java
@@ -1,6 +1,9 @@
 package crankwick.app;
 
 import java.io.IOException;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 
@@ -22,6 +25,8 @@
     volatile int late;
     volatile int lost;
     volatile long maxMillis;
+    /** The ids of requests that were answered late, and when and how they were answered. */
+    private final Map<Integer, String> lateAnswers = new ConcurrentHashMap<>();
 
     PacedClient(Deployment deployment, AtomicInteger ids) {
         this.deployment = deployment;
@@ -56,12 +61,25 @@
         long millis = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - sentAt);
         answers++;
         served += answer.kind().equals("SERVED") ? 1 : 0;
+        if (millis > DEADLINE_MILLIS + IN_TIME_MILLIS) {
+            lateAnswers.put(id, answer + " after " + millis + " ms");
+        }
         late += millis > DEADLINE_MILLIS + IN_TIME_MILLIS ? 1 : 0;
         lost += millis > DEADLINE_MILLIS + LOST_AFTER_MILLIS || answer.kind().equals("CLOSED") ? 1 : 0;
         maxMillis = Math.max(maxMillis, millis);
         return !answer.kind().equals("CLOSED");
     }
 
+    /** The late answers, each with the program's log line on its request, if there is one. */
+    List<String> trace() {
+        return lateAnswers.entrySet().stream()
+                .map(late -> late + " "
+                        + deployment.log.stream()
+                                .filter(line -> line.contains(" id=" + late.getKey() + " "))
+                                .toList())
+                .toList();
+    }
+
     @Override
     public String toString() {
         return answers + " answers, " + served + " served, " + late + " late, " + lost + " lost, slowest " + maxMillis
