--- a/src/main/java/crankwick/tds/TdsDecoder.java
+++ b/src/main/java/crankwick/tds/TdsDecoder.java
@@ -12,7 +12,12 @@
     private static final int MAX_MESSAGE_BYTES = 256 * 1024;
     private static final int MAX_PACKET_BYTES = 32 * 1024;
 
-    private final ByteArrayOutputStream body = new ByteArrayOutputStream();
+    /** A larger buffer is released after its message; a smaller one is kept for the next. */
+    private static final int MAX_KEPT_BUFFER_BYTES = 4 * 1_024;
+
+    private ByteArrayOutputStream body = new ByteArrayOutputStream();
+    /** Whether a packet has been received whose message is not complete, even if the packet was empty. */
+    private boolean messageBegun;
 
     /** Handles a complete message. A truncated field throws an exception, which is reported as a protocol error. */
     protected abstract void onMessage(int type, ByteBuffer message, FilterChainContext context);
@@ -37,9 +42,10 @@
         byte[] payload = new byte[length - TdsProtocol.HEADER_BYTES];
         in.get(payload);
         body.writeBytes(payload);
-        if ((status & TdsProtocol.END_OF_MESSAGE) != 0) {
+        messageBegun = (status & TdsProtocol.END_OF_MESSAGE) == 0;
+        if (!messageBegun) {
             ByteBuffer message = ByteBuffer.wrap(body.toByteArray()).order(ByteOrder.LITTLE_ENDIAN);
-            body.reset();
+            clearBody();
             if ((status & TdsProtocol.IGNORE) == 0) {
                 onMessage(type, message, context);
             }
@@ -49,7 +55,15 @@
 
     @Override
     protected int partialBytes() {
-        return body.size();
+        return messageBegun ? Math.max(1, body.size()) : 0;
+    }
+
+    private void clearBody() {
+        if (body.size() > MAX_KEPT_BUFFER_BYTES) {
+            body = new ByteArrayOutputStream();
+        } else {
+            body.reset();
+        }
     }
 
     static String text(ByteBuffer from, int chars) {
