Soak: in every third run some clients send at full speed until the kill

Their kind and number come from a random source of their own, so that the other faults of a seed stay as they were.

--- a/src/test/java/crankwick/app/FaultSoak.java
+++ b/src/test/java/crankwick/app/FaultSoak.java
@@ -11,13 +11,15 @@
 /**
  * One soak run: the program as a process, three databases and clients on loopback, and faults drawn from the seed.
  * Databases close connections, answer late, with malformed replies or not at all; the process is repeatedly stopped
- * for up to 0.15 s and gets SIGHUP in series; some runs open many idle connections. The run ends with SIGTERM while
+ * for up to 0.15 s and gets SIGHUP in series; some runs open many idle connections, and in some other clients send at
+ * full speed. The run ends with SIGTERM while
  * clients continue to send, and SIGKILL at the earliest time the platform may send it. The seed determines the faults,
  * but not which requests they affect.
  */
 final class FaultSoak {
     private static final int CLIENTS = 12;
     private static final int MAX_IDLE_CONNECTIONS = 230;
+    private static final int MAX_FULL_SPEED_SENDERS = 4;
     private static final int TRAFFIC_MILLIS = 8_000;
     /** The longest deadline in the settings plus 0.7 s. */
     private static final int KILL_AFTER_MILLIS = 3_700;
@@ -32,6 +34,7 @@
     private final SoakRecord record = new SoakRecord();
     private final AtomicInteger ids = new AtomicInteger();
     private final List<Socket> idleConnections = new ArrayList<>();
+    private final List<FullSpeedSender> senders = new ArrayList<>();
 
     FaultSoak(long seed) {
         this.seed = seed;
@@ -58,10 +61,15 @@
                 threads.add(new Thread(client, "client " + i));
             }
             threads.forEach(Thread::start);
+            startSenders(d);
             injectFaults(d);
             clients.forEach(SoakClient::stopConnecting);
+            senders.forEach(FullSpeedSender::stopConnecting);
             long killedAt = terminateThenKill(d);
             clients.forEach(SoakClient::stop);
+            for (FullSpeedSender sender : senders) {
+                sender.close();
+            }
             for (Thread thread : threads) {
                 thread.join();
             }
@@ -103,6 +111,20 @@
                 .forEach(line -> System.out.println("    " + line));
     }
 
+    /** In every third run, some clients send messages of one kind at full speed until the proxy is killed. */
+    private void startSenders(Deployment d) {
+        Random senderRandom = new Random(-seed);
+        FullSpeedSender.Kind[] kinds = FullSpeedSender.Kind.values();
+        FullSpeedSender.Kind kind = kinds[senderRandom.nextInt(kinds.length)];
+        int count = seed % 3 == 2 ? 1 + senderRandom.nextInt(MAX_FULL_SPEED_SENDERS) : 0;
+        for (int i = 0; i < count; i++) {
+            senders.add(new FullSpeedSender(d, kind));
+        }
+        if (count > 0) {
+            System.out.println("seed " + seed + ": " + count + " senders of " + kind);
+        }
+    }
+
     private void injectFaults(Deployment d) throws IOException, InterruptedException {
         boolean opensIdleConnections = seed % 4 == 3;
         long until = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(TRAFFIC_MILLIS);
--- a/src/test/java/crankwick/app/FullSpeedSender.java
+++ b/src/test/java/crankwick/app/FullSpeedSender.java
@@ -35,6 +35,9 @@
 
     private final Deployment deployment;
     private final Kind kind;
+    /** Set once no new connections are to be opened; the open one stays in use. */
+    private volatile boolean stopsConnecting;
+
     private volatile boolean stopped;
     private volatile Socket socket;
 
@@ -44,6 +47,10 @@
         start("full speed sender", this::sendUntilStopped);
     }
 
+    void stopConnecting() {
+        stopsConnecting = true;
+    }
+
     private static void start(String name, Runnable task) {
         Thread thread = new Thread(task, name);
         thread.setDaemon(true);
@@ -51,7 +58,7 @@
     }
 
     private void sendUntilStopped() {
-        while (!stopped) {
+        while (!stopped && !stopsConnecting) {
             try (Socket current = deployment.connect()) {
                 socket = current;
                 if (kind != Kind.NEGOTIATIONS && kind != Kind.NOISE) {
