--- a/src/main/java/crankwick/tds/TdsDecoder.java
+++ b/src/main/java/crankwick/tds/TdsDecoder.java
@@ -12,8 +12,8 @@
     private static final int MAX_MESSAGE_BYTES = 256 * 1024;
     private static final int MAX_PACKET_BYTES = 32 * 1024;
 
-    /** A larger buffer is released after its message; a smaller one is kept for the next. */
-    private static final int MAX_KEPT_BUFFER_BYTES = 4 * 1_024;
+    /** A larger buffer is released after its message; a smaller one is reused for the next. */
+    private static final int MAX_RETAINED_BUFFER_BYTES = 4 * 1_024;
 
     private ByteArrayOutputStream body = new ByteArrayOutputStream();
     /** Whether a packet has been received whose message is not complete, even if the packet was empty. */
@@ -59,7 +59,7 @@
     }
 
     private void clearBody() {
-        if (body.size() > MAX_KEPT_BUFFER_BYTES) {
+        if (body.size() > MAX_RETAINED_BUFFER_BYTES) {
             body = new ByteArrayOutputStream();
         } else {
             body.reset();
