Take input for read to its end when a round of the selector finds none

Callers saw: statements larger than one read (16 KB), sent one after the other by a quiet client, refused (53300, 50106).

The time since when input may be unread was reset only when somebody asked for it after 5 ms of silence, so that it went on from the first statement to the third, over 50 ms later.

Why this works: after a read that may not be the end, a task queued behind the next round's reads records whether that round found nothing; with that, and 5 ms without a read, the input counts as read.

--- a/src/main/java/crankwick/transport/ReadPacer.java
+++ b/src/main/java/crankwick/transport/ReadPacer.java
@@ -25,11 +25,22 @@
     private static final class Interest {
         private boolean waiting;
         private boolean paused;
+        /** Whether a round of the selector thread has found no input since the last read. */
+        private boolean silent;
+
+        private long reads;
         /** When the connection was last read, or reading was last resumed. */
         private long readAtNanos;
         /** Since when there may have been unread input; 0 if reading has reached its end. */
         private long unreadSinceNanos;
 
+        /** Records that reading has reached the end, if a round found no input and nothing has arrived for a while. */
+        private void updateIfQuiet() {
+            if (silent && System.nanoTime() - readAtNanos > QUIET_NANOS) {
+                unreadSinceNanos = 0;
+            }
+        }
+
         private void markUnread() {
             unreadSinceNanos = unreadSinceNanos == 0 ? System.nanoTime() : unreadSinceNanos;
         }
@@ -48,7 +59,10 @@
         boolean full = bytes >= Transport.READ_BUFFER_BYTES;
         Interest interest = interests.get(connection);
         synchronized (interest) {
+            interest.updateIfQuiet();
             interest.readAtNanos = System.nanoTime();
+            interest.silent = false;
+            interest.reads++;
             if (full || interest.paused) {
                 interest.markUnread();
             } else if (bytes <= MAX_LAST_READ_BYTES) {
@@ -58,6 +72,23 @@
         if (full) {
             pace(connection);
         }
+        checkSilence(connection, interest);
+    }
+
+    /** Lets the next round of the selector thread find out whether there is further input. */
+    private static void checkSilence(Connection<?> connection, Interest interest) {
+        long reads;
+        synchronized (interest) {
+            reads = interest.reads;
+            if (interest.unreadSinceNanos == 0 || interest.waiting || interest.paused) {
+                return;
+            }
+        }
+        Transport.afterPendingReads(connection, () -> {
+            synchronized (interest) {
+                interest.silent = interest.reads == reads && !interest.waiting && !interest.paused;
+            }
+        });
     }
 
     private void pace(Connection<?> connection) {
@@ -92,9 +123,11 @@
         Interest interest = interests.get(connection);
         synchronized (interest) {
             interest.waiting = isWaiting;
+            interest.silent = false;
             interest.readAtNanos = System.nanoTime();
             apply(connection, interest);
         }
+        checkSilence(connection, interest);
     }
 
     /** Pauses or resumes reading from a connection. Safe on any thread. */
@@ -102,22 +135,21 @@
         Interest interest = interests.get(connection);
         synchronized (interest) {
             interest.paused = isPaused;
+            interest.silent = false;
             interest.readAtNanos = System.nanoTime();
             apply(connection, interest);
             if (isPaused) {
                 interest.markUnread();
             }
         }
+        checkSilence(connection, interest);
     }
 
     /** The {@link System#nanoTime} since when there may have been unread input; 0 if reading has reached its end. */
     long unreadSinceNanos(Connection<?> connection) {
         Interest interest = interests.get(connection);
         synchronized (interest) {
-            boolean read = !interest.waiting && !interest.paused;
-            if (read && System.nanoTime() - interest.readAtNanos > QUIET_NANOS) {
-                interest.unreadSinceNanos = 0;
-            }
+            interest.updateIfQuiet();
             return interest.unreadSinceNanos;
         }
     }
--- a/src/test/java/crankwick/app/ClientsIT.java
+++ b/src/test/java/crankwick/app/ClientsIT.java
@@ -134,6 +134,20 @@
         }
     }
 
+    /** Guards against taking input that has long been read for unread, and so refusing what follows it. */
+    @Test(dataProvider = "wires")
+    public void statementsLargerThanAReadAreServedInSuccession(TestWireClient wire) throws Exception {
+        try (Deployment d = new Deployment(wire);
+                Deployment.Client client = d.client()) {
+            for (int i = 0; i < 8; i++) {
+                TestWireClient.Answer answer = client.execute(statement("map-view", 1_000, "") + "x".repeat(20_000));
+                assertEquals(answer.kind(), "SERVED", i + ": " + answer);
+                Thread.sleep(30);
+            }
+            assertNoViolations(d);
+        }
+    }
+
     /** Guards against dropping commands of a client that pipelines hundreds of them. */
     @Test(dataProvider = "wires")
     public void hundredsOfPipelinedCommandsAreAllAnsweredInOrder(TestWireClient wire) throws Exception {
