--- a/src/test/java/crankwick/app/CrowdIT.java
+++ b/src/test/java/crankwick/app/CrowdIT.java
@@ -24,6 +24,7 @@
     private static final int PACED_CLIENTS = 3;
     private static final int SOCKETS = 1_024;
     private static final int CROWD_MILLIS = Integer.getInteger("crankwick.crowd.millis", 4_000);
+    private static final int LARGER_THAN_A_READ_CHARS = 20_000;
     private static final int LARGE_CHARS = 80_000;
     private static final int BURST = 500;
     private static final int EMPTY_STATEMENTS = 20_000;
@@ -60,12 +61,22 @@
     /** Guards against running out of memory while hundreds of clients send slowly, in part, or without reading. */
     @Test(dataProvider = "behaviours")
     public void memorySufficesForACrowd(TestWireClient wire, Behaviour behaviour) throws Exception {
+        assertOthersAreAnswered(wire, behaviour, 0);
+    }
+
+    /** Guards against losing other clients' large requests while hundreds of clients occupy memory. */
+    @Test(dataProvider = "behaviours")
+    public void largeRequestsOfOthersAreAnswered(TestWireClient wire, Behaviour behaviour) throws Exception {
+        assertOthersAreAnswered(wire, behaviour, LARGER_THAN_A_READ_CHARS);
+    }
+
+    private void assertOthersAreAnswered(TestWireClient wire, Behaviour behaviour, int paddingChars) throws Exception {
         stopped = false;
         try (Deployment d = Deployment.onOneCore(wire, CORE, SOCKETS)) {
             AtomicInteger ids = new AtomicInteger(1 << 30);
             List<PacedClient> paced = new ArrayList<>();
             for (int i = 0; i < PACED_CLIENTS; i++) {
-                paced.add(new PacedClient(d, ids));
+                paced.add(new PacedClient(d, ids, paddingChars));
             }
             Thread.sleep(300);
             List<Thread> crowd = new ArrayList<>();
--- a/src/test/java/crankwick/app/PacedClient.java
+++ b/src/test/java/crankwick/app/PacedClient.java
@@ -17,6 +17,7 @@
     static final int IN_TIME_MILLIS = 70;
 
     private final Deployment deployment;
+    private final String padding;
     private final AtomicInteger ids;
     private final Thread thread = new Thread(this::run, "paced client");
     private volatile boolean stopped;
@@ -29,6 +30,12 @@
     private final Map<Integer, String> lateAnswers = new ConcurrentHashMap<>();
 
     PacedClient(Deployment deployment, AtomicInteger ids) {
+        this(deployment, ids, 0);
+    }
+
+    /** Creates a client whose statements are longer by {@code paddingChars}. */
+    PacedClient(Deployment deployment, AtomicInteger ids, int paddingChars) {
+        padding = "x".repeat(paddingChars);
         this.deployment = deployment;
         this.ids = ids;
         thread.start();
@@ -56,7 +63,7 @@
         client.socket.setSoTimeout(DEADLINE_MILLIS + 10 * LOST_AFTER_MILLIS);
         long sentAt = System.nanoTime();
         client.send("/* id=" + id + ",c=map-view,d=" + DEADLINE_MILLIS
-                + ",cluster=0 */ SELECT val FROM state WHERE uid = '7f3a9c21e0b4d655'");
+                + ",cluster=0 */ SELECT val FROM state WHERE uid = '7f3a9c21e0b4d655'" + padding);
         TestWireClient.Answer answer = client.readAnswer();
         long millis = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - sentAt);
         answers++;
