Test: wait for the write's attempt before the commands behind it

Trace: the write had not begun when the 200,000 commands behind it arrived, so that it was not sent while they were unread and rejected after 703 ms (GIVEN_UP, cause=NO_RETRY, 8 attempts NOT_SENT): a case that is allowed. The test took the end of that request for the detection of the close. It now waits until the database has the attempt, as its neighbour does; its checks are unchanged.

--- a/src/test/java/crankwick/app/ConnectionRaceTest.java
+++ b/src/test/java/crankwick/app/ConnectionRaceTest.java
@@ -364,7 +364,7 @@
             proxy.database.replyKind = "NO_REPLY";
             PausableProxyFixture.Client client = proxy.new Client();
             client.sendWrite("1", DEADLINE_MILLIS);
-            while (proxy.outstandingRequests() == 0) {
+            while (proxy.attemptLog.countAttempts("1") == 0) {
                 Thread.sleep(1);
             }
             client.sendPart("\n".repeat(200_000));
