--- a/review/standins-2/Database.java
+++ b/review/standins-2/Database.java
@@ -17,6 +17,8 @@
         final String requestClass;
         final double at;
         volatile double answeredAt;
+        /** The position of the data that it was answered from, or 0. */
+        volatile double position;
         /** What was answered: a value, an error, or nothing so far. */
         volatile String answer = "nothing";
 
@@ -41,6 +43,8 @@
     volatile int valueBytes = 16;
     volatile double startedMillis;
     volatile String state = "up";
+    /** Connections that are idle for this long are closed; 0 for never. */
+    volatile int idleMillis;
 
     Database(Rig rig, String id, String zone, int group, boolean primary) throws IOException {
         this.rig = rig;
@@ -98,7 +102,9 @@
             greet();
             socket.getOutputStream().write(Pg.concat(Pg.message('R', "\0\0\0\0"), statuses(), Pg.ready()));
             while (true) {
+                socket.setSoTimeout(idleMillis);
                 int type = in.read();
+                socket.setSoTimeout(0);
                 if (type != 'Q') {
                     return;
                 }
--- a/review/standins-2/Settings.java
+++ b/review/standins-2/Settings.java
@@ -13,6 +13,7 @@
     double rampMillis = 16_000;
     double tipMillis = 2_000;
     double drainGraceMillis = 2_000;
+    double connectionIdleMillis = 15_000;
     private final List<String> classes = new ArrayList<>();
     private final List<String> freshness = new ArrayList<>();
     private final List<String> oldest = new ArrayList<>();
@@ -41,7 +42,7 @@
     public String toString() {
         return "{\"balancers\":" + balancers + ",\"my-zone\":0,\"rank\":0,\"discovery\":\"" + discovery
                 + "\",\"failure-domains\":[\"ulemiste\",\"lasnamae\",\"tartu-mnt\"],\"kinds\":[\"fast-4\",\"plain-5\"],"
-                + "\"bounds\":{\"conn-idle-ms\":15000.0,\"connect-timeout-ms\":250.0,\"max-attempts\":8,"
+                + "\"bounds\":{\"conn-idle-ms\":" + connectionIdleMillis + ",\"connect-timeout-ms\":250.0,\"max-attempts\":8,"
                 + "\"max-open\":20000,\"max-retry-after-ms\":2000.0,\"may-cancel\":true,\"may-duplicate\":false,"
                 + "\"multiplex\":1,\"peers\":false,\"probes\":" + probes + ",\"retry-after\":true},"
                 + "\"charges\":{\"cross-zone\":0.0095,\"probe\":0.021,\"waste\":0.05,\"late-fail\":0.08},"
