--- a/review/standins-2/Client.java
+++ b/review/standins-2/Client.java
@@ -97,10 +97,10 @@
     }
 
     private void readAnswers(DataInputStream in) {
+        String answer = null;
+        String code = "";
+        String value = null;
         try {
-            String answer = null;
-            String code = "";
-            String value = null;
             while (true) {
                 while (readingPaused) {
                     Rig.sleep(1);
@@ -126,6 +126,10 @@
             }
         } catch (IOException e) {
             closed = true;
+            if (answer != null) {
+                // A fatal error needs no ReadyForQuery; it answers one request.
+                finish(poll(), answer, code, value);
+            }
             for (Request request = poll(); request != null; request = poll()) {
                 finish(request, "CLOSED", "", null);
             }
