--- a/src/main/java/crankwick/client/ClientCounters.java
+++ b/src/main/java/crankwick/client/ClientCounters.java
@@ -14,6 +14,8 @@
     private final AtomicLong overLimitCommands = new AtomicLong();
     private final AtomicLong readPauses = new AtomicLong();
     private final AtomicLong maxReadPauseMillis = new AtomicLong();
+    private final AtomicLong maxTurnWaitMillis = new AtomicLong();
+    private final AtomicLong maxWindowWaitMillis = new AtomicLong();
     /** The number of closed connections by reason. */
     private final AtomicLongArray closes = new AtomicLongArray(CloseReason.values().length);
 
@@ -51,6 +53,16 @@
         maxReadPauseMillis.accumulateAndGet(millis, Math::max);
     }
 
+    /** A session with unprocessed messages has waited {@code millis} milliseconds for its turn on the event loop. */
+    void recordTurnWait(long millis) {
+        maxTurnWaitMillis.accumulateAndGet(millis, Math::max);
+    }
+
+    /** A session's next request has waited {@code millis} milliseconds until other requests were finished. */
+    void recordWindowWait(long millis) {
+        maxWindowWaitMillis.accumulateAndGet(millis, Math::max);
+    }
+
     void countClose(CloseReason reason) {
         closes.incrementAndGet(reason.ordinal());
     }
@@ -71,6 +83,7 @@
         return "accepted=" + accepted + " rejected_connections=" + rejected + " closed_unanswered=" + closedUnanswered
                 + " protocol_errors=" + protocolErrors + " over_limit_commands=" + overLimitCommands
                 + " dropped_replies=" + droppedReplies + " read_pauses=" + readPauses + " max_read_pause_ms="
-                + maxReadPauseMillis + " closed=" + closesByReason();
+                + maxReadPauseMillis + " max_turn_wait_ms=" + maxTurnWaitMillis + " max_window_wait_ms="
+                + maxWindowWaitMillis + " closed=" + closesByReason();
     }
 }
--- a/src/main/java/crankwick/client/ClientListener.java
+++ b/src/main/java/crankwick/client/ClientListener.java
@@ -64,7 +64,7 @@
         writer = new OrderedReplyWriter(loop, clock, sessions, requests, counters, overLimitReply);
         admission = new CommandAdmission(broker, clock, settings, sessions, requests, writer, overLimitReply);
         sweeper = new IdleSweeper(loop, clock, codec, sessions, writer);
-        scheduler = new MessageScheduler(loop, new SessionMessageHandler());
+        scheduler = new MessageScheduler(loop, new SessionMessageHandler(), counters);
         writer.onRepliesLeft(scheduler::scheduleReplies);
     }
 
@@ -133,7 +133,7 @@
     /** The counters of client connections, formatted for a log line. */
     public String counters() {
         return counters + " open_bytes=" + budgets.statements().reserved() + " answer_bytes="
-                + budgets.replies().reserved();
+                + budgets.replies().reserved() + " max_paced_read_ms=" + codec.maxPacedReadMillis();
     }
 
     /** The command of an unanswered request; null if the request is answered or abandoned. */
--- a/src/main/java/crankwick/client/ClientSession.java
+++ b/src/main/java/crankwick/client/ClientSession.java
@@ -62,6 +62,9 @@
     /** Whether the session waits in the {@link MessageScheduler} until requests are finished. */
     boolean waitsForRequests;
 
+    /** When the session was queued for its turn, or began to wait for requests, by {@link System#nanoTime}. */
+    volatile long queuedAtNanos;
+
     /** The session's requests that are neither answered nor abandoned; maintained by {@link OpenRequests}. */
     int openRequests;
 
--- a/src/main/java/crankwick/client/MessageScheduler.java
+++ b/src/main/java/crankwick/client/MessageScheduler.java
@@ -12,6 +12,7 @@
  * event loop run between the turns.
  */
 final class MessageScheduler {
+    private static final long NANOS_PER_MILLI = 1_000_000;
     private static final int MAX_MESSAGES_PER_TURN = 16;
     /** A turn ends after the message during which this time has passed. */
     private static final long MAX_TURN_NANOS = 200_000;
@@ -45,6 +46,7 @@
 
     private final EventLoop loop;
     private final Handler handler;
+    private final ClientCounters counters;
     /** Sessions whose messages have arrived since they last had none; added to by the selector thread. */
     private final Queue<ClientSession> arrived = new ConcurrentLinkedQueue<>();
 
@@ -57,14 +59,16 @@
     /** Whether a run is queued on the event loop or in progress. */
     private final AtomicBoolean runQueued = new AtomicBoolean();
 
-    MessageScheduler(EventLoop loop, Handler handler) {
+    MessageScheduler(EventLoop loop, Handler handler, ClientCounters counters) {
         this.loop = loop;
         this.handler = handler;
+        this.counters = counters;
     }
 
     /** Schedules a session that has been accepted or has unprocessed messages. Safe on any thread. */
     void schedule(ClientSession session) {
         if (session.inbox.markScheduled()) {
+            session.queuedAtNanos = System.nanoTime();
             arrived.add(session);
             queueRun();
         }
@@ -73,7 +77,7 @@
     /** Schedules a session that has more replies ready than were written at once. Called on the event loop. */
     void scheduleReplies(ClientSession session) {
         session.inbox.markScheduled();
-        backlogged.add(session);
+        addBacklogged(session);
         queueRun();
     }
 
@@ -126,6 +130,7 @@
 
     private void takeTurn(ClientSession session) {
         long startNanos = System.nanoTime();
+        counters.recordTurnWait(millisSince(session.queuedAtNanos));
         session.repliesLeft = false;
         try {
             if (session.register()) {
@@ -150,21 +155,32 @@
         }
     }
 
+    private static long millisSince(long nanos) {
+        return (System.nanoTime() - nanos) / NANOS_PER_MILLI;
+    }
+
     private void scheduleNextTurn(ClientSession session) {
         if (!handler.mustWait(session)) {
-            backlogged.add(session);
+            addBacklogged(session);
         } else if (!session.waitsForRequests) {
             session.waitsForRequests = true;
+            session.queuedAtNanos = System.nanoTime();
             waiting.add(session);
         }
     }
 
+    private void addBacklogged(ClientSession session) {
+        session.queuedAtNanos = System.nanoTime();
+        backlogged.add(session);
+    }
+
     /** Lets some of the waiting sessions check again whether they must wait. Called when a request is finished. */
     void onRequestFinished() {
         for (int sessions = 0; sessions < MAX_RESUMED_SESSIONS && !waiting.isEmpty(); sessions++) {
             ClientSession session = waiting.poll();
             session.waitsForRequests = false;
-            backlogged.add(session);
+            counters.recordWindowWait(millisSince(session.queuedAtNanos));
+            addBacklogged(session);
         }
         if (!backlogged.isEmpty()) {
             queueRun();
--- a/src/main/java/crankwick/transport/CodecFilter.java
+++ b/src/main/java/crankwick/transport/CodecFilter.java
@@ -24,6 +24,7 @@
  */
 public abstract class CodecFilter extends BaseFilter {
     private static final long NANOS_PER_MICRO = 1_000;
+    private static final long NANOS_PER_MILLI = 1_000_000;
     private static final int MAX_BUFFERED_HEAP_DIVISOR = 8;
     /** More than the protocols need before a login: each answer is a write on the thread that serves all sockets. */
     private static final int MAX_NEGOTIATION_RESPONSES = 4;
@@ -229,6 +230,11 @@
         return readPacer.unreadSinceNanos(connection);
     }
 
+    /** The longest that a connection with more input than one read has waited for its next read, in milliseconds. */
+    public final long maxPacedReadMillis() {
+        return readPacer.maxWaitNanos() / NANOS_PER_MILLI;
+    }
+
     /** Pauses or resumes reading from a connection. Safe on any thread. */
     public final void setReadingPaused(Connection<?> connection, boolean paused) {
         readPacer.setPaused(connection, paused);
--- a/src/main/java/crankwick/transport/ReadPacer.java
+++ b/src/main/java/crankwick/transport/ReadPacer.java
@@ -51,6 +51,9 @@
     /** Connections that wait for a round in which they are read; used by the selector thread only. */
     private final Queue<Connection<?>> waiting = new ArrayDeque<>();
 
+    /** The longest that a connection with more input has waited for its round. */
+    private volatile long maxWaitNanos;
+
     private int fullReadsInRound;
     private boolean roundQueued;
 
@@ -122,6 +125,9 @@
     private void setWaiting(Connection<?> connection, boolean isWaiting) {
         Interest interest = interests.get(connection);
         synchronized (interest) {
+            if (!isWaiting) {
+                maxWaitNanos = Math.max(maxWaitNanos, System.nanoTime() - interest.readAtNanos);
+            }
             interest.waiting = isWaiting;
             interest.silent = false;
             interest.readAtNanos = System.nanoTime();
@@ -145,6 +151,11 @@
         checkSilence(connection, interest);
     }
 
+    /** The longest that a connection with more input than one read has waited for its next read, in nanoseconds. */
+    long maxWaitNanos() {
+        return maxWaitNanos;
+    }
+
     /** The {@link System#nanoTime} since when there may have been unread input; 0 if reading has reached its end. */
     long unreadSinceNanos(Connection<?> connection) {
         Interest interest = interests.get(connection);
