Schedule clients' messages by fair queueing; large and pipelined ones no longer starve

Cause: MessageScheduler took from its queue of large messages and backlogs only while no session with a small message was ready; nothing bounded that wait. Evidence: max_turn_wait_ms=2733 with max_window_wait_ms=0 and max_paced_read_ms=0. Change: one queue in the order of weighted fair queueing (FairQueue), with a clock that all work advances, so that neither small messages nor ever new connections overtake without end. At most 16 closes are handled between two turns.

--- a/src/main/java/crankwick/client/ClientSession.java
+++ b/src/main/java/crankwick/client/ClientSession.java
@@ -1,6 +1,7 @@
 package crankwick.client;
 
 import crankwick.transport.CodecFilter;
+import crankwick.transport.FairQueue;
 import crankwick.transport.Transport;
 import java.net.SocketAddress;
 import java.util.ArrayDeque;
@@ -59,8 +60,8 @@
     /** Whether more replies are ready than the last flush wrote, so that the session needs another turn. */
     boolean repliesLeft;
 
-    /** Whether the session waits in the {@link MessageScheduler} until requests are finished. */
-    boolean waitsForRequests;
+    /** The session's share of the turns of the {@link MessageScheduler}. */
+    final FairQueue.Flow<ClientSession> flow = new FairQueue.Flow<>(this);
 
     /** When the session was queued for its turn, or began to wait for requests, by {@link System#nanoTime}. */
     volatile long queuedAtNanos;
--- a/src/main/java/crankwick/client/MessageScheduler.java
+++ b/src/main/java/crankwick/client/MessageScheduler.java
@@ -1,24 +1,30 @@
 package crankwick.client;
 
 import crankwick.transport.EventLoop;
-import java.util.ArrayDeque;
+import crankwick.transport.FairQueue;
+import java.util.Iterator;
+import java.util.LinkedHashSet;
 import java.util.Queue;
+import java.util.Set;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.atomic.AtomicBoolean;
 
 /**
- * Processes the messages of all sessions in turns, so that a client that sends at full speed delays only itself. A
- * session whose messages were all processed gets its next turn before those that have a backlog. Other tasks of the
- * event loop run between the turns.
+ * Processes the messages of all sessions in turns, of which each session has an equal share ({@link FairQueue}): how
+ * long one waits is bounded by the number of sessions, whatever the others send. Other tasks of the event loop run
+ * between the turns.
  */
 final class MessageScheduler {
     private static final long NANOS_PER_MILLI = 1_000_000;
     private static final int MAX_MESSAGES_PER_TURN = 16;
     /** A turn ends after the message during which this time has passed. */
     private static final long MAX_TURN_NANOS = 200_000;
-    /** A larger message takes long enough to parse that sessions with small ones go first. */
-    private static final int MAX_SMALL_MESSAGE_BYTES = 4 * 1_024;
+    /** The work for a message beside that for its text, counted in bytes of text. */
+    private static final long MESSAGE_COST_BYTES = 16 * 1_024;
 
+    /** How many closed sessions are handled between two turns. */
+    private static final int MAX_CLOSES_PER_TURN = 16;
+    /** How many sessions, other than its own, a finished request lets continue. */
     private static final int MAX_RESUMED_SESSIONS = 4;
     /** How long turns may occupy the event loop before its other tasks run. */
     private static final long MAX_RUN_NANOS = 1_000_000;
@@ -53,9 +59,10 @@
     /** Sessions whose connections have closed; added to by the selector thread. */
     private final Queue<ClientSession> closed = new ConcurrentLinkedQueue<>();
 
-    private final ArrayDeque<ClientSession> backlogged = new ArrayDeque<>();
-    /** Sessions whose next message must wait until requests are finished. */
-    private final ArrayDeque<ClientSession> waiting = new ArrayDeque<>();
+    /** Sessions that wait for their turn. */
+    private final FairQueue<ClientSession> ready = new FairQueue<>();
+    /** Sessions whose next message must wait until requests are finished, those that wait longest first. */
+    private final Set<ClientSession> waiting = new LinkedHashSet<>();
     /** Whether a run is queued on the event loop or in progress. */
     private final AtomicBoolean runQueued = new AtomicBoolean();
 
@@ -77,7 +84,7 @@
     /** Schedules a session that has more replies ready than were written at once. Called on the event loop. */
     void scheduleReplies(ClientSession session) {
         session.inbox.markScheduled();
-        addBacklogged(session);
+        addReady(session);
         queueRun();
     }
 
@@ -104,50 +111,45 @@
             }
         } finally {
             runQueued.set(false);
-            if (!backlogged.isEmpty() || !arrived.isEmpty() || !closed.isEmpty()) {
+            if (!ready.isEmpty() || !arrived.isEmpty() || !closed.isEmpty()) {
                 queueRun();
             }
         }
     }
 
-    /**
-     * The session whose turn it is: one that has become ready with a small message, or else the one that has waited
-     * longest with a large message or a backlog.
-     */
+    /** Handles closed sessions, then returns the session whose turn it is; null if there is none. */
     private ClientSession next() {
-        for (ClientSession session = closed.poll(); session != null; session = closed.poll()) {
-            session.register();
-            handler.onClosed(session);
+        for (int closes = 0; closes < MAX_CLOSES_PER_TURN && !closed.isEmpty(); closes++) {
+            onClosed(closed.poll());
         }
         for (ClientSession session = arrived.poll(); session != null; session = arrived.poll()) {
-            if (session.inbox.nextMessageBytes() <= MAX_SMALL_MESSAGE_BYTES) {
-                return session;
-            }
-            backlogged.add(session);
+            ready.add(session.flow, nextCost(session));
         }
-        return backlogged.poll();
+        return ready.poll();
+    }
+
+    private void onClosed(ClientSession session) {
+        waiting.remove(session);
+        session.register();
+        handler.onClosed(session);
+    }
+
+    private static long nextCost(ClientSession session) {
+        return MESSAGE_COST_BYTES + session.inbox.nextMessageBytes();
     }
 
     private void takeTurn(ClientSession session) {
-        long startNanos = System.nanoTime();
         counters.recordTurnWait(millisSince(session.queuedAtNanos));
         session.repliesLeft = false;
+        long cost = MESSAGE_COST_BYTES;
         try {
             if (session.register()) {
                 handler.onAccepted(session);
             }
             handler.beginTurn(session);
-            for (int messages = 0; messages < MAX_MESSAGES_PER_TURN; messages++) {
-                ReceivedMessage received = handler.mustWait(session) ? null : session.inbox.poll();
-                if (received == null) {
-                    break;
-                }
-                handler.onMessage(session, received);
-                if (System.nanoTime() - startNanos > MAX_TURN_NANOS) {
-                    break;
-                }
-            }
+            cost = Math.max(cost, processMessages(session));
         } finally {
+            ready.charge(session.flow, cost);
             handler.endTurn(session);
             if (!session.repliesLeft && !session.inbox.unmarkScheduledIfEmpty()) {
                 scheduleNextTurn(session);
@@ -155,35 +157,56 @@
         }
     }
 
-    private static long millisSince(long nanos) {
-        return (System.nanoTime() - nanos) / NANOS_PER_MILLI;
+    /** Processes the messages of one turn and returns their cost. */
+    private long processMessages(ClientSession session) {
+        long startNanos = System.nanoTime();
+        long cost = 0;
+        for (int messages = 0; messages < MAX_MESSAGES_PER_TURN; messages++) {
+            ReceivedMessage received = handler.mustWait(session) ? null : session.inbox.poll();
+            if (received == null) {
+                break;
+            }
+            cost += MESSAGE_COST_BYTES + received.message.bytes();
+            handler.onMessage(session, received);
+            if (System.nanoTime() - startNanos > MAX_TURN_NANOS) {
+                break;
+            }
+        }
+        return cost;
     }
 
     private void scheduleNextTurn(ClientSession session) {
         if (!handler.mustWait(session)) {
-            addBacklogged(session);
-        } else if (!session.waitsForRequests) {
-            session.waitsForRequests = true;
+            addReady(session);
+        } else if (waiting.add(session)) {
             session.queuedAtNanos = System.nanoTime();
-            waiting.add(session);
         }
     }
 
-    private void addBacklogged(ClientSession session) {
+    private void addReady(ClientSession session) {
         session.queuedAtNanos = System.nanoTime();
-        backlogged.add(session);
+        ready.add(session.flow, nextCost(session));
+    }
+
+    private static long millisSince(long nanos) {
+        return (System.nanoTime() - nanos) / NANOS_PER_MILLI;
     }
 
     /** Lets some of the waiting sessions check again whether they must wait. Called when a request is finished. */
     void onRequestFinished() {
         for (int sessions = 0; sessions < MAX_RESUMED_SESSIONS && !waiting.isEmpty(); sessions++) {
-            ClientSession session = waiting.poll();
-            session.waitsForRequests = false;
-            counters.recordWindowWait(millisSince(session.queuedAtNanos));
-            addBacklogged(session);
+            Iterator<ClientSession> first = waiting.iterator();
+            ClientSession session = first.next();
+            first.remove();
+            resume(session);
         }
-        if (!backlogged.isEmpty()) {
+        if (!ready.isEmpty()) {
             queueRun();
         }
     }
+
+    private void resume(ClientSession session) {
+        counters.recordWindowWait(millisSince(session.queuedAtNanos));
+        addReady(session);
+    }
 }
--- a/src/test/java/crankwick/app/PacedClient.java
+++ b/src/test/java/crankwick/app/PacedClient.java
@@ -1,5 +1,6 @@
 package crankwick.app;
 
+import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.util.List;
 import java.util.Map;
@@ -7,7 +8,10 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 
-/** A client that sends a read at a time, with a pause after each, and measures when the answers arrive. */
+/**
+ * A client that sends one read, or several at once, with a pause after their answers, and measures when the answers
+ * arrive. The time of a read that is sent behind others counts from the answer before it.
+ */
 final class PacedClient implements AutoCloseable {
     private static final int DEADLINE_MILLIS = 235;
     private static final int PAUSE_MILLIS = 20;
@@ -18,6 +22,7 @@
 
     private final Deployment deployment;
     private final String padding;
+    private final int readsAtOnce;
     private final AtomicInteger ids;
     private final Thread thread = new Thread(this::run, "paced client");
     private volatile boolean stopped;
@@ -35,18 +40,28 @@
 
     /** Creates a client whose statements are longer by {@code paddingChars}. */
     PacedClient(Deployment deployment, AtomicInteger ids, int paddingChars) {
+        this(deployment, ids, paddingChars, 1);
+    }
+
+    private PacedClient(Deployment deployment, AtomicInteger ids, int paddingChars, int readsAtOnce) {
         padding = "x".repeat(paddingChars);
         this.deployment = deployment;
         this.ids = ids;
+        this.readsAtOnce = readsAtOnce;
         thread.start();
     }
 
+    /** Creates a client that sends several reads at once. */
+    static PacedClient pipelining(Deployment deployment, AtomicInteger ids, int readsAtOnce) {
+        return new PacedClient(deployment, ids, 0, readsAtOnce);
+    }
+
     private void run() {
         Deployment.Client client = null;
         while (!stopped) {
             try {
                 client = client == null ? deployment.client() : client;
-                client = sendRead(client) ? client : null;
+                client = sendReads(client) ? client : null;
                 Thread.sleep(PAUSE_MILLIS);
             } catch (IOException e) {
                 lost++;
@@ -58,14 +73,31 @@
     }
 
     /** Returns false if the proxy has closed the connection, which it may do between requests. */
-    private boolean sendRead(Deployment.Client client) throws IOException {
-        int id = ids.incrementAndGet();
+    private boolean sendReads(Deployment.Client client) throws IOException {
+        int firstId = ids.getAndAdd(readsAtOnce);
         client.socket.setSoTimeout(DEADLINE_MILLIS + 10 * LOST_AFTER_MILLIS);
-        long sentAt = System.nanoTime();
-        client.send("/* id=" + id + ",c=map-view,d=" + DEADLINE_MILLIS
-                + ",cluster=0 */ SELECT val FROM state WHERE uid = '7f3a9c21e0b4d655'" + padding);
-        TestWireClient.Answer answer = client.readAnswer();
-        long millis = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - sentAt);
+        long fromNanos = System.nanoTime();
+        ByteArrayOutputStream reads = new ByteArrayOutputStream();
+        for (int id = firstId; id < firstId + readsAtOnce; id++) {
+            reads.writeBytes(deployment.wire.encodeCommand(read(id), 0));
+        }
+        client.socket.getOutputStream().write(reads.toByteArray());
+        boolean open = true;
+        for (int id = firstId; open && id < firstId + readsAtOnce; id++) {
+            TestWireClient.Answer answer = client.readAnswer();
+            long answeredNanos = System.nanoTime();
+            open = record(id, answer, TimeUnit.NANOSECONDS.toMillis(answeredNanos - fromNanos));
+            fromNanos = answeredNanos;
+        }
+        return open;
+    }
+
+    private String read(int id) {
+        return "/* id=" + id + ",c=map-view,d=" + DEADLINE_MILLIS
+                + ",cluster=0 */ SELECT val FROM state WHERE uid = '7f3a9c21e0b4d655'" + padding;
+    }
+
+    private boolean record(int id, TestWireClient.Answer answer, long millis) {
         answers++;
         served += answer.kind().equals("SERVED") ? 1 : 0;
         if (millis > DEADLINE_MILLIS + IN_TIME_MILLIS) {
