Limit a statement's leading comment to 8 KiB, and read its hints without copies

The turns' bound (FairQueue) is as long as the slowest message. Change: HintReader reads the comment's characters in place; a comment over 8 KiB is answered as unreadable.

--- a/src/main/java/crankwick/statement/StatementParser.java
+++ b/src/main/java/crankwick/statement/StatementParser.java
@@ -1,23 +1,14 @@
 package crankwick.statement;
 
-/** Parses the hints of one statement; maps their short names on the wire to the terms used in the code. */
+/** Finds the leading comment of a statement, and builds the statement from the comment's hints. */
 final class StatementParser {
     private static final String COMMENT_START = "/*";
     private static final String COMMENT_END = "*/";
-    private static final int MAX_HINT_LENGTH = 128;
-    private static final long MAX_TIMEOUT_MILLIS = 60_000;
-    private static final long MILLIS_PER_SECOND = 1_000;
-    private static final int NOT_SEARCHED = -1;
+
+    /** Limits the time that the hints take; those in use have a few hundred characters. */
+    private static final int MAX_COMMENT_CHARS = 8 * 1_024;
 
     private final String text;
-    private String requestId;
-    private String requestClassName;
-    private String idempotencyKey;
-    private long timeoutMillis = -1;
-    private long groupId = -1;
-    private long requiredPositionMillis = -1;
-    private int timeoutStart;
-    private int timeoutEnd;
 
     StatementParser(String text) {
         this.text = text;
@@ -29,61 +20,28 @@
      */
     Statement parse() {
         int open = text.indexOf(COMMENT_START);
-        int close = text.indexOf(COMMENT_END, open + COMMENT_START.length());
-        require(open >= 0 && text.substring(0, open).isBlank() && close > 0, "no leading comment");
-        readHints(open + COMMENT_START.length(), close);
-        require(requestId != null, "id is missing");
-        require(requestClassName != null, "c is missing");
-        require(timeoutMillis > 0, "d is missing");
-        require(groupId >= 0, "cluster is missing");
+        int start = open + COMMENT_START.length();
+        int end = text.indexOf(COMMENT_END, start);
+        require(open >= 0 && text.substring(0, open).isBlank() && end > 0, "no leading comment");
+        require(end - start <= MAX_COMMENT_CHARS, "the leading comment is too long");
+        char[] comment = new char[end - start];
+        text.getChars(start, end, comment, 0);
+        HintReader hints = new HintReader(comment);
+        require(hints.requestId() != null, "id is missing");
+        require(hints.requestClassName() != null, "c is missing");
+        require(hints.timeoutMillis() > 0, "d is missing");
+        require(hints.groupId() >= 0, "cluster is missing");
         return new Statement(
-                requestId,
-                requestClassName,
-                timeoutMillis,
-                idempotencyKey,
-                groupId,
-                requiredPositionMillis,
-                firstLiteral(close),
+                hints.requestId(),
+                hints.requestClassName(),
+                hints.timeoutMillis(),
+                hints.idempotencyKey(),
+                hints.groupId(),
+                hints.requiredPositionMillis(),
+                firstLiteral(end),
                 text,
-                timeoutStart,
-                timeoutEnd);
-    }
-
-    /** Reads the hints between two indexes. Each character is looked at a constant number of times. */
-    private void readHints(int start, int commentEnd) {
-        int at = start;
-        int equals = NOT_SEARCHED;
-        while (at < commentEnd) {
-            int end = indexOrEnd(text.indexOf(',', at), commentEnd);
-            if (equals < at) {
-                equals = indexOrEnd(text.indexOf('=', at), commentEnd);
-            }
-            if (equals < end) {
-                readHint(text.substring(at, equals).strip(), equals + 1, end);
-            }
-            at = end + 1;
-        }
-    }
-
-    private static int indexOrEnd(int index, int end) {
-        return index < 0 ? end : Math.min(index, end);
-    }
-
-    private void readHint(String name, int valueStart, int valueEnd) {
-        String value = text.substring(valueStart, valueEnd).strip();
-        switch (name) {
-            case "id" -> requestId = hintText(value, name);
-            case "c" -> requestClassName = hintText(value, name);
-            case "k" -> idempotencyKey = hintText(value, name);
-            case "cluster" -> groupId = number(value, Integer.MAX_VALUE, name);
-            case "after" -> requiredPositionMillis = number(value, Long.MAX_VALUE / MILLIS_PER_SECOND, name);
-            case "d" -> {
-                timeoutMillis = Math.min(MAX_TIMEOUT_MILLIS, number(value, Long.MAX_VALUE, name));
-                timeoutStart = text.indexOf(value, valueStart);
-                timeoutEnd = timeoutStart + value.length();
-            }
-            default -> {}
-        }
+                start + hints.timeoutStart(),
+                start + hints.timeoutEnd());
     }
 
     private String firstLiteral(int from) {
@@ -92,21 +50,6 @@
         return close < 0 ? null : text.substring(open + 1, close);
     }
 
-    private static String hintText(String value, String name) {
-        require(!value.isEmpty() && value.length() <= MAX_HINT_LENGTH, name + " is unusable");
-        return value;
-    }
-
-    private static long number(String value, long max, String name) {
-        try {
-            long number = Long.parseLong(value);
-            require(number >= 0 && number <= max, name + " is out of range");
-            return number;
-        } catch (NumberFormatException e) {
-            throw new IllegalArgumentException(name + " is not a number", e);
-        }
-    }
-
     private static void require(boolean condition, String message) {
         if (!condition) {
             throw new IllegalArgumentException(message);
