A finished request lets its own session continue; its next one no longer waits for others

Cause: a finished request resumed the first four sessions of the waiting queue, whichever session it belonged to; those that had to wait on went to its end, so that a session's own finished requests brought it no turn. Change: the finished request's own session continues first, then up to four others that need not wait any longer.

--- a/src/main/java/crankwick/client/ClientListener.java
+++ b/src/main/java/crankwick/client/ClientListener.java
@@ -149,8 +149,8 @@
         }
     }
 
-    private void onRequestFinished() {
-        scheduler.onRequestFinished();
+    private void onRequestFinished(ClientSession session) {
+        scheduler.onRequestFinished(session);
     }
 
     private void onAccepted(ClientSession session) {
--- a/src/main/java/crankwick/client/MessageScheduler.java
+++ b/src/main/java/crankwick/client/MessageScheduler.java
@@ -2,7 +2,6 @@
 
 import crankwick.transport.EventLoop;
 import crankwick.transport.FairQueue;
-import java.util.Iterator;
 import java.util.LinkedHashSet;
 import java.util.Queue;
 import java.util.Set;
@@ -61,7 +60,7 @@
 
     /** Sessions that wait for their turn. */
     private final FairQueue<ClientSession> ready = new FairQueue<>();
-    /** Sessions whose next message must wait until requests are finished, those that wait longest first. */
+    /** Sessions whose next message must wait until requests are finished, in the order in which they were checked. */
     private final Set<ClientSession> waiting = new LinkedHashSet<>();
     /** Whether a run is queued on the event loop or in progress. */
     private final AtomicBoolean runQueued = new AtomicBoolean();
@@ -192,21 +191,29 @@
         return (System.nanoTime() - nanos) / NANOS_PER_MILLI;
     }
 
-    /** Lets some of the waiting sessions check again whether they must wait. Called when a request is finished. */
-    void onRequestFinished() {
+    /**
+     * Called when a request of a session is finished: lets that session continue if it need not wait any longer, and
+     * some of the others, in turn. So a session waits for its own requests only.
+     */
+    void onRequestFinished(ClientSession session) {
+        resumeUnlessMustWait(session);
         for (int sessions = 0; sessions < MAX_RESUMED_SESSIONS && !waiting.isEmpty(); sessions++) {
-            Iterator<ClientSession> first = waiting.iterator();
-            ClientSession session = first.next();
-            first.remove();
-            resume(session);
-        }
-        if (!ready.isEmpty()) {
-            queueRun();
+            ClientSession first = waiting.iterator().next();
+            if (!resumeUnlessMustWait(first)) {
+                waiting.remove(first);
+                waiting.add(first);
+            }
         }
     }
 
-    private void resume(ClientSession session) {
-        counters.recordWindowWait(millisSince(session.queuedAtNanos));
-        addReady(session);
+    private boolean resumeUnlessMustWait(ClientSession session) {
+        boolean resumed = waiting.contains(session) && !handler.mustWait(session);
+        if (resumed) {
+            waiting.remove(session);
+            counters.recordWindowWait(millisSince(session.queuedAtNanos));
+            addReady(session);
+            queueRun();
+        }
+        return resumed;
     }
 }
--- a/src/main/java/crankwick/client/OpenRequests.java
+++ b/src/main/java/crankwick/client/OpenRequests.java
@@ -7,6 +7,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.function.Consumer;
 
 /** The requests of all sessions that are neither answered nor abandoned, by id. Confined to the event loop. */
 final class OpenRequests {
@@ -21,12 +22,12 @@
     private static final int MIN_REQUESTS_PER_SESSION = 4;
 
     private final BrokerEventSink broker;
-    private final Runnable onFinished;
+    private final Consumer<ClientSession> onFinished;
     private final Map<Long, ClientCommand> commandsById = new HashMap<>();
     private long lastId;
 
-    /** {@code onFinished} is called whenever a request has been answered or abandoned. */
-    OpenRequests(BrokerEventSink broker, Runnable onFinished) {
+    /** {@code onFinished} is called with the session whenever a request has been answered or abandoned. */
+    OpenRequests(BrokerEventSink broker, Consumer<ClientSession> onFinished) {
         this.broker = broker;
         this.onFinished = onFinished;
     }
@@ -57,7 +58,7 @@
         ClientCommand command = commandsById.remove(requestId);
         if (command != null) {
             command.session.openRequests--;
-            onFinished.run();
+            onFinished.accept(command.session);
         }
         return command;
     }
