Test: the open command must be at its database before the flood behind it

Trace: request id=1 answer=rejected:GIVEN_UP@130 attempts=8, all NOT_SENT, no attempt at the database. The proxy sends nothing for a client whose input has been unread for 50 ms, and 300,000 commands right behind the write take longer, so the refusal is right; the test relied on the write being faster. It now waits for the attempt before it sends the rest; its checks are unchanged.

--- a/src/test/java/crankwick/app/OpenCommandsIT.java
+++ b/src/test/java/crankwick/app/OpenCommandsIT.java
@@ -57,6 +57,9 @@
             Deployment.Client client = d.client();
             d.primary().replyKind = "NO_REPLY";
             client.send(statement("reserve", 2_000, ""));
+            while (d.attemptLog.attempts.isEmpty()) {
+                Thread.sleep(1);
+            }
             byte[] empty = d.wire.encodeCommand("", 0);
             String many = new String(empty, StandardCharsets.ISO_8859_1).repeat(EMPTY_QUERIES);
             client.socket.getOutputStream().write(many.getBytes(StandardCharsets.ISO_8859_1));
