--- a/src/main/java/crankwick/client/ClientSession.java
+++ b/src/main/java/crankwick/client/ClientSession.java
@@ -112,6 +112,8 @@
     private boolean closed;
     /** Why the proxy ends the connection; null unless it does. */
     private CloseReason closeReason;
+    /** The fault that the client was told; empty if there is none. */
+    private String closeFault = "";
 
     ClientSession(
             Connection<SocketAddress> connection, CodecFilter codec, ClientBudgets budgets, ClientCounters counters) {
@@ -272,8 +274,20 @@
     }
 
     /** Records why the proxy is about to end the connection; the first reason counts. */
-    synchronized void recordCloseReason(CloseReason reason) {
-        closeReason = closeReason == null && !closed ? reason : closeReason;
+    void recordCloseReason(CloseReason reason) {
+        recordCloseReason(reason, "");
+    }
+
+    /** As above, with the fault that the client is told. */
+    synchronized void recordCloseReason(CloseReason reason, String fault) {
+        if (closeReason == null && !closed) {
+            closeReason = reason;
+            closeFault = fault;
+        }
+    }
+
+    synchronized String closeFault() {
+        return closeFault;
     }
 
     synchronized CloseReason closeReason() {
--- a/src/main/java/crankwick/client/CloseLog.java
+++ b/src/main/java/crankwick/client/CloseLog.java
@@ -24,9 +24,10 @@
         counters.countClose(reason);
         if ((!reason.isRegular() || openCommands > 0) && rateLimit.tryAcquire(clock.now())) {
             LOG.info(
-                    "client {} closed: {}; {} messages read, {} commands open{}",
+                    "client {} closed: {}{}; {} messages read, {} commands open{}",
                     session.connection.getPeerAddress(),
                     reason,
+                    session.closeFault().isEmpty() ? "" : " (" + session.closeFault() + ")",
                     session.inbox.messagesRead(),
                     openCommands,
                     rateLimit.takeOmitted());
--- a/src/main/java/crankwick/client/OrderedReplyWriter.java
+++ b/src/main/java/crankwick/client/OrderedReplyWriter.java
@@ -122,7 +122,7 @@
     /** Closes a session with an error, which is sent after the replies to earlier commands. */
     void closeWithError(ClientSession session, CloseReason reason, ClientReply.Cause cause, String fault) {
         counters.countProtocolError();
-        session.recordCloseReason(reason);
+        session.recordCloseReason(reason, fault);
         session.closing = true;
         ClientCommand error = new ClientCommand(session, requests.nextId(), null, null, 0, 0);
         error.reply = new ClientReply.ConnectionError(cause, fault);
