Read at most 16 KiB at once, whatever was written before

Seen: after a command of 120 KB had been written to a database, single reads of clients returned up to 123 KB; the limits on reading and on incomplete input count in reads of 16 KB. Cause: Grizzly reads into a direct buffer that it keeps for each thread, which is as large as the largest write so far. Change: BoundedReadMemory lets it read into a buffer of the configured size.

--- a/src/main/java/crankwick/transport/Transport.java
+++ b/src/main/java/crankwick/transport/Transport.java
@@ -16,7 +16,6 @@
 import org.glassfish.grizzly.filterchain.FilterChainBuilder;
 import org.glassfish.grizzly.filterchain.FilterChainContext;
 import org.glassfish.grizzly.filterchain.TransportFilter;
-import org.glassfish.grizzly.memory.HeapMemoryManager;
 import org.glassfish.grizzly.nio.NIOConnection;
 import org.glassfish.grizzly.nio.transport.TCPNIOBindingHandler;
 import org.glassfish.grizzly.nio.transport.TCPNIOConnectorHandler;
@@ -43,7 +42,7 @@
     /** A negative value disables SO_LINGER. */
     private static final int LINGER_DISABLED = -1;
 
-    private static final HeapMemoryManager MEMORY_MANAGER = new HeapMemoryManager(READ_BUFFER_BYTES);
+    private static final BoundedReadMemory MEMORY_MANAGER = new BoundedReadMemory(READ_BUFFER_BYTES);
 
     private final TCPNIOTransport transport;
 
