Incomplete messages of others no longer end connections: memory is reserved, waited for

Cause: all connections of a protocol shared one budget for incomplete input, and whoever needed bytes when it was used up got a protocol error, however much the others held and for however long; a buffer was doubled up to twice its message. Evidence: of the closes logged 82 were 'no memory is left for what is not whole'. Databases' responses had the same budget. Change: InputMemory. A message over 16 KiB reserves what it needs; without memory its connection is not read until others have finished, first come, first served. While some wait, holders that were read to their end at four checks, 5 ms apart, are told the error instead. Buffers grow to their message's size at most.

--- a/src/main/java/crankwick/client/ClientListener.java
+++ b/src/main/java/crankwick/client/ClientListener.java
@@ -66,6 +66,7 @@
         sweeper = new IdleSweeper(loop, clock, codec, sessions, writer);
         scheduler = new MessageScheduler(loop, new SessionMessageHandler(), counters);
         writer.onRepliesLeft(scheduler::scheduleReplies);
+        codec.limitInputMemory(loop, this::onFault);
     }
 
     private static Reply overLimitReply(RoutingLimits limits) {
@@ -133,7 +134,7 @@
     /** The counters of client connections, formatted for a log line. */
     public String counters() {
         return counters + " open_bytes=" + budgets.statements().reserved() + " answer_bytes="
-                + budgets.replies().reserved() + " max_paced_read_ms=" + codec.maxPacedReadMillis();
+                + budgets.replies().reserved() + " " + codec.inputCounters();
     }
 
     /** The command of an unanswered request; null if the request is answered or abandoned. */
@@ -153,6 +154,15 @@
         scheduler.onRequestFinished(session);
     }
 
+    private void onFault(Connection<?> connection, Object protocolError) {
+        onMessagesRead(sessionOfConnection.peek(connection), List.of((ClientMessage) protocolError));
+    }
+
+    private void onMessagesRead(ClientSession session, List<ClientMessage> messages) {
+        session.onMessagesRead(messages, clock.now());
+        scheduler.schedule(session);
+    }
+
     private void onAccepted(ClientSession session) {
         session.idleSinceMicros = clock.now();
         if (!sessions.add(session)) {
@@ -217,8 +227,7 @@
         public NextAction handleRead(FilterChainContext context) {
             ClientSession session = sessionOfConnection.peek(Transport.connection(context));
             List<ClientMessage> messages = context.getMessage();
-            session.onMessagesRead(messages, clock.now());
-            scheduler.schedule(session);
+            onMessagesRead(session, messages);
             return context.getStopAction();
         }
 
--- a/src/main/java/crankwick/database/DatabasePool.java
+++ b/src/main/java/crankwick/database/DatabasePool.java
@@ -68,6 +68,8 @@
         context = new PoolContext(broker, loop, clock, codec, new PoolCounters());
         this.transport = transport;
         chain = Transport.chain(codec, new Receiver());
+        codec.limitInputMemory(
+                loop, (socket, protocolError) -> onMessages(socket, List.of((DatabaseMessage) protocolError)));
         connectTimeoutMicros = settings.connectTimeoutMicros();
         maxIdleMicros = (long) (settings.serverIdleTimeoutMicros() * IDLE_TIMEOUT_FRACTION);
         maxConnections = settings.maxConnections();
@@ -77,7 +79,7 @@
 
     /** The counters of connections to databases, formatted for the log. */
     public String counters() {
-        return context.counters().toString();
+        return context.counters() + " " + context.codec().inputCounters();
     }
 
     /** Applies an update of the endpoint list. */
@@ -165,6 +167,15 @@
         return oldest != null;
     }
 
+    private void onMessages(Connection<?> socket, List<DatabaseMessage> messages) {
+        context.loop().execute(() -> {
+            PooledConnection connection = bySocket.get(socket);
+            if (connection != null) {
+                connection.onMessages(messages);
+            }
+        });
+    }
+
     private void reap() {
         hosts.reap(context.clock().now(), maxIdleMicros);
         context.loop().schedule(REAP_INTERVAL_MICROS, this::reap);
@@ -216,12 +227,7 @@
         public NextAction handleRead(FilterChainContext filterContext) {
             Connection<SocketAddress> socket = Transport.connection(filterContext);
             List<DatabaseMessage> messages = filterContext.getMessage();
-            context.loop().execute(() -> {
-                PooledConnection connection = bySocket.get(socket);
-                if (connection != null) {
-                    connection.onMessages(messages);
-                }
-            });
+            onMessages(socket, messages);
             return filterContext.getStopAction();
         }
 
--- a/src/main/java/crankwick/pg/PgClientCodec.java
+++ b/src/main/java/crankwick/pg/PgClientCodec.java
@@ -88,6 +88,11 @@
             return 0;
         }
 
+        @Override
+        protected int expectedBytes(ByteBuffer rest) {
+            return startupReceived ? PgProtocol.messageBytes(rest) : rest.remaining();
+        }
+
         @Override
         protected Object protocolError(String fault) {
             return new ClientMessage.ProtocolError(fault);
--- a/src/main/java/crankwick/pg/PgDatabaseCodec.java
+++ b/src/main/java/crankwick/pg/PgDatabaseCodec.java
@@ -221,6 +221,11 @@
             return value == null ? 1 : value.length + 1;
         }
 
+        @Override
+        protected int expectedBytes(ByteBuffer rest) {
+            return Math.max(PgProtocol.messageBytes(rest), partialBytes());
+        }
+
         @Override
         protected Object protocolError(String fault) {
             return new DatabaseMessage.ProtocolError(fault);
--- a/src/main/java/crankwick/pg/PgProtocol.java
+++ b/src/main/java/crankwick/pg/PgProtocol.java
@@ -1,5 +1,7 @@
 package crankwick.pg;
 
+import java.nio.ByteBuffer;
+
 /** The lengths, message types, error fields and SQLSTATE codes of PostgreSQL's protocol that are used here. */
 final class PgProtocol {
     static final int VERSION_3 = 3 << 16;
@@ -54,4 +56,9 @@
     static final String INTERNAL_ERROR = "XX000";
 
     private PgProtocol() {}
+
+    /** The bytes of the message that begins at the buffer's position; of its header as many as there are. */
+    static int messageBytes(ByteBuffer in) {
+        return in.remaining() < HEADER_BYTES ? in.remaining() : 1 + in.getInt(in.position() + 1);
+    }
 }
--- a/src/main/java/crankwick/tds/TdsDecoder.java
+++ b/src/main/java/crankwick/tds/TdsDecoder.java
@@ -1,10 +1,10 @@
 package crankwick.tds;
 
 import crankwick.transport.CodecFilter;
-import java.io.ByteArrayOutputStream;
 import java.nio.ByteBuffer;
 import java.nio.ByteOrder;
 import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
 import org.glassfish.grizzly.filterchain.FilterChainContext;
 
 /** Assembles TDS packets into messages, on client and database connections. */
@@ -13,9 +13,15 @@
     private static final int MAX_PACKET_BYTES = 32 * 1024;
 
     /** A larger buffer is released after its message; a smaller one is reused for the next. */
-    private static final int MAX_RETAINED_BUFFER_BYTES = 4 * 1_024;
+    private static final int RETAINED_BUFFER_BYTES = 4 * 1_024;
 
-    private ByteArrayOutputStream body = new ByteArrayOutputStream();
+    private static final int STATUS_OFFSET = 1;
+    private static final int LENGTH_OFFSET = 2;
+
+    /** The payloads of the message's packets that have been received. */
+    private byte[] body = new byte[0];
+
+    private int bodyBytes;
     /** Whether a packet has been received whose message is not complete, even if the packet was empty. */
     private boolean messageBegun;
 
@@ -31,21 +37,16 @@
         int status = in.get();
         int length = in.getShort() & TdsProtocol.SHORT_MASK;
         in.getInt();
-        if (length < TdsProtocol.HEADER_BYTES
-                || length > MAX_PACKET_BYTES
-                || body.size() + length > MAX_MESSAGE_BYTES) {
+        if (length < TdsProtocol.HEADER_BYTES || length > MAX_PACKET_BYTES || bodyBytes + length > MAX_MESSAGE_BYTES) {
             throw new IllegalArgumentException("unusable length of a packet");
         }
         if (in.remaining() < length - TdsProtocol.HEADER_BYTES) {
             return false;
         }
-        byte[] payload = new byte[length - TdsProtocol.HEADER_BYTES];
-        in.get(payload);
-        body.writeBytes(payload);
+        append(in, length - TdsProtocol.HEADER_BYTES);
         messageBegun = (status & TdsProtocol.END_OF_MESSAGE) == 0;
         if (!messageBegun) {
-            ByteBuffer message = ByteBuffer.wrap(body.toByteArray()).order(ByteOrder.LITTLE_ENDIAN);
-            clearBody();
+            ByteBuffer message = takeMessage();
             if ((status & TdsProtocol.IGNORE) == 0) {
                 onMessage(type, message, context);
             }
@@ -53,17 +54,41 @@
         return true;
     }
 
+    private void append(ByteBuffer in, int bytes) {
+        int needed = bodyBytes + bytes;
+        if (needed > body.length) {
+            int doubled = Math.min(2 * body.length, MAX_MESSAGE_BYTES);
+            body = Arrays.copyOf(body, Math.max(needed, Math.max(doubled, RETAINED_BUFFER_BYTES)));
+        }
+        in.get(body, bodyBytes, bytes);
+        bodyBytes = needed;
+    }
+
+    /** The complete message, which is valid until the next one begins. */
+    private ByteBuffer takeMessage() {
+        ByteBuffer message = ByteBuffer.wrap(body, 0, bodyBytes).order(ByteOrder.LITTLE_ENDIAN);
+        bodyBytes = 0;
+        if (body.length > RETAINED_BUFFER_BYTES) {
+            body = new byte[0];
+        }
+        return message;
+    }
+
     @Override
     protected int partialBytes() {
-        return messageBegun ? Math.max(1, body.size()) : 0;
+        return messageBegun ? Math.max(1, bodyBytes) : 0;
     }
 
-    private void clearBody() {
-        if (body.size() > MAX_RETAINED_BUFFER_BYTES) {
-            body = new ByteArrayOutputStream();
-        } else {
-            body.reset();
-        }
+    /** The end of a message is known from its last packet only; until then a large one may reach the limit. */
+    @Override
+    protected int expectedBytes(ByteBuffer rest) {
+        boolean lengthKnown = rest.remaining() >= LENGTH_OFFSET + Short.BYTES;
+        int packet = lengthKnown
+                ? rest.getShort(rest.position() + LENGTH_OFFSET) & TdsProtocol.SHORT_MASK
+                : rest.remaining();
+        boolean last = lengthKnown && (rest.get(rest.position() + STATUS_OFFSET) & TdsProtocol.END_OF_MESSAGE) != 0;
+        int known = partialBytes() + packet;
+        return last || known <= UNRESERVED_BYTES ? known : MAX_MESSAGE_BYTES;
     }
 
     /** Decodes UTF-16; most texts have one byte in each character that counts, for which this is much faster. */
--- a/src/main/java/crankwick/transport/CodecFilter.java
+++ b/src/main/java/crankwick/transport/CodecFilter.java
@@ -6,7 +6,6 @@
 import java.nio.ByteBuffer;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.concurrent.atomic.AtomicLong;
 import org.glassfish.grizzly.Buffer;
 import org.glassfish.grizzly.Connection;
 import org.glassfish.grizzly.Grizzly;
@@ -19,8 +18,8 @@
 
 /**
  * Base class of the protocol codecs. Input is decoded into typed messages, which are passed up the filter chain as a
- * list; messages on the way down are encoded as bytes. Incomplete input is buffered within a budget shared by all
- * connections of the protocol. After a protocol error, further input is dropped.
+ * list; messages on the way down are encoded as bytes. The memory for incomplete input is shared by all connections of
+ * the protocol ({@link InputMemory}). After a protocol error, further input is dropped.
  */
 public abstract class CodecFilter extends BaseFilter {
     private static final long NANOS_PER_MICRO = 1_000;
@@ -32,18 +31,31 @@
     /** Limits the buffered input of all connections together, as many peers may each send part of a large message. */
     private static final long MAX_BUFFERED_BYTES = Runtime.getRuntime().maxMemory() / MAX_BUFFERED_HEAP_DIVISOR;
 
-    private final AtomicLong bufferedBytes = new AtomicLong();
+    private final InputMemory inputMemory = new InputMemory(MAX_BUFFERED_BYTES, new PacedConnections());
+    private volatile FaultReceiver faultReceiver;
     private final ReadPacer readPacer = new ReadPacer();
     private final Attribute<Decoder> decoders = Grizzly.DEFAULT_ATTRIBUTE_BUILDER.createAttribute(
             getClass().getName() + '@' + System.identityHashCode(this));
 
+    /** Receives the protocol errors of connections that are found while none of their input is read. */
+    public interface FaultReceiver {
+        /** Called on the selector thread with the message that reports the error. */
+        void onFault(Connection<?> connection, Object protocolError);
+    }
+
     /** The decoding state of one connection; the filter releases it when the connection closes. */
     public abstract static class Decoder {
+        /** A message of more bytes needs a reservation of memory until it is complete. */
+        protected static final int UNRESERVED_BYTES = InputMemory.UNRESERVED_BYTES;
+
         private static final ByteBuffer EMPTY = ByteBuffer.allocate(0);
 
         private List<Object> decoded;
         private ByteBuffer remainder = EMPTY;
-        private long reservedBytes;
+        private InputMemory.Share memoryShare;
+        /** What is to be reserved for the incomplete message; 0 if it needs no reservation. */
+        private int neededBytes;
+
         private boolean inputExpected = true;
         private boolean inputDropped;
         private int negotiationResponses;
@@ -67,6 +79,14 @@
          */
         protected abstract int partialBytes();
 
+        /**
+         * The number of bytes that the incomplete message needs until it is complete, as far as is known, with those
+         * that the decoder itself buffers. {@code rest} is the undecoded input, from its position.
+         */
+        protected int expectedBytes(ByteBuffer rest) {
+            return rest.remaining() + partialBytes();
+        }
+
         /** Adds a message to those that are passed up the filter chain after the current read. */
         protected final void emit(Object message) {
             decoded.add(message);
@@ -99,16 +119,18 @@
             inputExpected = true;
         }
 
-        private synchronized List<Object> read(ByteBuffer in, FilterChainContext context, AtomicLong budget) {
+        private synchronized List<Object> read(ByteBuffer in, FilterChainContext context, InputMemory memory) {
             if (inputDropped) {
                 return List.of();
             }
             decoded = new ArrayList<>(2);
-            String fault = decodeAll(in, context, budget);
+            String fault = decodeAll(in, context);
             if (fault != null) {
-                fail(fault, budget);
-                incompleteSinceNanos = 0;
-            } else if (!remainder.hasRemaining() && partialBytes() <= 0) {
+                fail(fault, memory);
+                return decoded;
+            }
+            updateMemory(memory);
+            if (!remainder.hasRemaining() && partialBytes() <= 0) {
                 incompleteSinceNanos = 0;
             } else if (incompleteSinceNanos == 0 || !decoded.isEmpty()) {
                 incompleteSinceNanos = System.nanoTime();
@@ -120,7 +142,7 @@
          * Decodes complete messages and buffers the rest of the input; returns a description of the fault, or null if
          * there is none.
          */
-        private String decodeAll(ByteBuffer in, FilterChainContext context, AtomicLong budget) {
+        private String decodeAll(ByteBuffer in, FilterChainContext context) {
             ByteBuffer input = remainder.hasRemaining() ? append(in) : in;
             int start = input.position();
             String fault = null;
@@ -136,7 +158,6 @@
                 }
                 input.position(start);
                 bufferRemainder(input, in);
-                reserve(remainder.capacity() + partialBytes(), budget);
             } catch (BufferUnderflowException | IndexOutOfBoundsException e) {
                 fault = "a truncated field";
             } catch (IllegalArgumentException e) {
@@ -149,16 +170,39 @@
         private void bufferRemainder(ByteBuffer input, ByteBuffer in) {
             if (!input.hasRemaining()) {
                 remainder = EMPTY;
+            } else if (input == in || input.position() > 0) {
+                remainder = concat(EMPTY, input);
             } else {
-                remainder = input == in ? concat(EMPTY, in) : input;
+                remainder = input;
             }
         }
 
-        private void fail(String fault, AtomicLong budget) {
+        /** Releases the memory of a message that has been completed, and sets that which the next one needs. */
+        private void updateMemory(InputMemory memory) {
+            int bytes = expectedBytes(remainder);
+            neededBytes = bytes > UNRESERVED_BYTES ? bytes : 0;
+            if (!decoded.isEmpty() || neededBytes == 0) {
+                memory.release(memoryShare);
+            }
+        }
+
+        private void fail(String fault, InputMemory memory) {
             emit(protocolError(fault));
-            inputDropped = true;
-            remainder = EMPTY;
-            reserve(0, budget);
+            release(memory);
+        }
+
+        /** Drops the incomplete message; returns the message that reports the fault, or null if there is none. */
+        private synchronized Object reject(InputMemory memory) {
+            if (inputDropped || incompleteSinceNanos == 0) {
+                return null;
+            }
+            release(memory);
+            return protocolError("no memory is left for what is not whole");
+        }
+
+        /** The time for completing a message does not include that for which it was not read. */
+        private synchronized void onReadingResumed() {
+            incompleteSinceNanos = incompleteSinceNanos == 0 ? 0 : System.nanoTime();
         }
 
         private ByteBuffer append(ByteBuffer input) {
@@ -171,30 +215,38 @@
             return remainder;
         }
 
-        private static ByteBuffer concat(ByteBuffer first, ByteBuffer second) {
+        private ByteBuffer concat(ByteBuffer first, ByteBuffer second) {
             int length = first.remaining() + second.remaining();
-            return ByteBuffer.allocate(Math.max(length, 2 * first.remaining()))
+            int doubled = first.hasRemaining() ? Math.min(2 * first.remaining(), expectedBytes(first)) : 0;
+            return ByteBuffer.allocate(Math.max(length, doubled))
                     .put(first)
                     .put(second)
                     .flip();
         }
 
-        private void reserve(long bytes, AtomicLong budget) {
-            long total = budget.addAndGet(bytes - reservedBytes);
-            reservedBytes = bytes;
-            if (total > MAX_BUFFERED_BYTES && bytes > 0) {
-                throw new IllegalArgumentException("no memory is left for what is not whole");
-            }
-        }
-
-        private synchronized void release(AtomicLong budget) {
+        private synchronized void release(InputMemory memory) {
             inputDropped = true;
             remainder = EMPTY;
+            neededBytes = 0;
             incompleteSinceNanos = 0;
-            reserve(0, budget);
+            memory.release(memoryShare);
         }
     }
 
+    /**
+     * Limits the memory for incomplete input from now on, with the timers of a loop. To be called before the first
+     * connection.
+     */
+    public final void limitInputMemory(EventLoop loop, FaultReceiver receiver) {
+        faultReceiver = receiver;
+        inputMemory.useTimersOf(loop);
+    }
+
+    /** The counters of incomplete input, formatted for a log line. */
+    public final String inputCounters() {
+        return inputMemory + " max_paced_read_ms=" + readPacer.maxWaitNanos() / NANOS_PER_MILLI;
+    }
+
     /** Creates the decoder of a new connection. */
     protected abstract Decoder newDecoder();
 
@@ -230,11 +282,6 @@
         return readPacer.unreadSinceNanos(connection);
     }
 
-    /** The longest that a connection with more input than one read has waited for its next read, in milliseconds. */
-    public final long maxPacedReadMillis() {
-        return readPacer.maxWaitNanos() / NANOS_PER_MILLI;
-    }
-
     /** Pauses or resumes reading from a connection. Safe on any thread. */
     public final void setReadingPaused(Connection<?> connection, boolean paused) {
         readPacer.setPaused(connection, paused);
@@ -251,7 +298,9 @@
 
     @Override
     public final NextAction handleAccept(FilterChainContext context) {
-        decoders.set(context.getConnection(), newDecoder());
+        Decoder decoder = newDecoder();
+        decoder.memoryShare = new InputMemory.Share(context.getConnection());
+        decoders.set(context.getConnection(), decoder);
         return context.getInvokeAction();
     }
 
@@ -264,8 +313,13 @@
     public final NextAction handleRead(FilterChainContext context) throws IOException {
         Buffer in = context.getMessage();
         readPacer.onRead(context.getConnection(), in.remaining());
-        List<Object> messages = decoders.peek(context.getConnection()).read(in.toByteBuffer(), context, bufferedBytes);
+        Decoder decoder = decoders.peek(context.getConnection());
+        List<Object> messages = decoder.read(in.toByteBuffer(), context, inputMemory);
         in.tryDispose();
+        if (decoder.neededBytes > 0) {
+            // Not under the decoder's lock, which a connection that is closing takes while its reading is changed.
+            inputMemory.reserve(decoder.memoryShare, decoder.neededBytes);
+        }
         if (messages.isEmpty()) {
             return context.getStopAction();
         }
@@ -292,7 +346,8 @@
     public final NextAction handleClose(FilterChainContext context) throws IOException {
         Decoder decoder = decoders.peek(context.getConnection());
         if (decoder != null) {
-            decoder.release(bufferedBytes);
+            decoder.release(inputMemory);
+            inputMemory.close(decoder.memoryShare);
         }
         return context.getInvokeAction();
     }
@@ -300,4 +355,28 @@
     private static Buffer wrap(byte[] bytes) {
         return Buffers.wrap(MemoryManager.DEFAULT_MEMORY_MANAGER, bytes);
     }
+
+    /** Connections as {@link InputMemory} sees them. */
+    private final class PacedConnections implements InputMemory.Connections {
+        @Override
+        public boolean isReadToEnd(Connection<?> connection) {
+            return readPacer.isReadToEnd(connection);
+        }
+
+        @Override
+        public void setAwaitingMemory(Connection<?> connection, boolean isAwaiting) {
+            if (!isAwaiting) {
+                decoders.peek(connection).onReadingResumed();
+            }
+            readPacer.setAwaitingMemory(connection, isAwaiting);
+        }
+
+        @Override
+        public void reject(Connection<?> connection) {
+            Object protocolError = decoders.peek(connection).reject(inputMemory);
+            if (protocolError != null) {
+                faultReceiver.onFault(connection, protocolError);
+            }
+        }
+    }
 }
--- a/src/main/java/crankwick/transport/ReadPacer.java
+++ b/src/main/java/crankwick/transport/ReadPacer.java
@@ -31,6 +31,9 @@
 
         private boolean waiting;
         private boolean paused;
+        private boolean awaitingMemory;
+        /** Whether the last read returned as much as a read can. */
+        private boolean lastReadFull;
         /** Whether a round of the selector thread has found no input since the last read. */
         private boolean silent;
 
@@ -40,6 +43,10 @@
         /** Since when there may have been unread input; 0 if reading has reached its end. */
         private long unreadSinceNanos;
 
+        private boolean isReading() {
+            return !waiting && !paused && !awaitingMemory;
+        }
+
         /** Records that reading has reached the end, if a round found no input and nothing has arrived for a while. */
         private void updateIfQuiet() {
             if (silent && System.nanoTime() - readAtNanos > QUIET_NANOS) {
@@ -72,6 +79,7 @@
             interest.readAtNanos = System.nanoTime();
             interest.silent = false;
             interest.reads++;
+            interest.lastReadFull = full;
             if (full || interest.paused) {
                 interest.markUnread();
             } else if (bytes <= MAX_LAST_READ_BYTES) {
@@ -89,13 +97,13 @@
         long reads;
         synchronized (interest) {
             reads = interest.reads;
-            if (interest.unreadSinceNanos == 0 || interest.waiting || interest.paused) {
+            if (interest.unreadSinceNanos == 0 || !interest.isReading()) {
                 return;
             }
         }
         Transport.afterPendingReads(connection, () -> {
             synchronized (interest) {
-                interest.silent = interest.reads == reads && !interest.waiting && !interest.paused;
+                interest.silent = interest.reads == reads && interest.isReading();
             }
         });
     }
@@ -155,16 +163,38 @@
         Interest interest = interests.get(connection);
         synchronized (interest) {
             interest.paused = isPaused;
-            interest.silent = false;
-            interest.readAtNanos = System.nanoTime();
-            apply(connection, interest);
-            if (isPaused) {
-                interest.markUnread();
-            }
+            onPauseChanged(connection, interest, isPaused);
+        }
+        checkSilence(connection, interest);
+    }
+
+    /** Pauses reading from a connection until there is memory for its input, or resumes it. Safe on any thread. */
+    void setAwaitingMemory(Connection<?> connection, boolean isAwaiting) {
+        Interest interest = interests.get(connection);
+        synchronized (interest) {
+            interest.awaitingMemory = isAwaiting;
+            onPauseChanged(connection, interest, isAwaiting);
         }
         checkSilence(connection, interest);
     }
 
+    private static void onPauseChanged(Connection<?> connection, Interest interest, boolean isPaused) {
+        interest.silent = false;
+        interest.readAtNanos = System.nanoTime();
+        apply(connection, interest);
+        if (isPaused) {
+            interest.markUnread();
+        }
+    }
+
+    /** True if a connection is being read, and its last read found less than a read can return, or a later one none. */
+    boolean isReadToEnd(Connection<?> connection) {
+        Interest interest = interests.get(connection);
+        synchronized (interest) {
+            return interest.isReading() && (interest.silent || !interest.lastReadFull);
+        }
+    }
+
     /** The longest that a connection with more input than one read has waited for its next read, in nanoseconds. */
     long maxWaitNanos() {
         return maxWaitNanos;
@@ -181,7 +211,7 @@
 
     private static void apply(Connection<?> connection, Interest interest) {
         if (connection.isOpen()) {
-            Transport.setInterest(connection, IOEvent.READ, !interest.waiting && !interest.paused);
+            Transport.setInterest(connection, IOEvent.READ, interest.isReading());
         }
     }
 }
