Charge reads for their messages; a smaller credit for large input

Seen: beside 400 clients that send 20,000 empty statements at once without reading, others' reads of 20 KB waited over a second as the crowd began (CrowdIT.largeRequestsOfOthersAreAnswered, READS_NO_ANSWERS: 1 or 2 of some 60 answers lost). Cause: a read of 16 KB of empty statements costs many times that of one statement, and counted the same; each new connection had a credit of 256 KB of them. Change: a message counts 512 bytes beside its own; the credit is 64 KB; the charge is made after the decoding.

--- a/src/main/java/crankwick/transport/CodecFilter.java
+++ b/src/main/java/crankwick/transport/CodecFilter.java
@@ -312,10 +312,11 @@
     @Override
     public final NextAction handleRead(FilterChainContext context) throws IOException {
         Buffer in = context.getMessage();
-        readPacer.onRead(context.getConnection(), in.remaining());
+        int bytes = in.remaining();
         Decoder decoder = decoders.peek(context.getConnection());
         List<Object> messages = decoder.read(in.toByteBuffer(), context, inputMemory);
         in.tryDispose();
+        readPacer.onRead(context.getConnection(), bytes, messages.size());
         if (decoder.neededBytes > 0) {
             // Not under the decoder's lock, which a connection that is closing takes while its reading is changed.
             inputMemory.reserve(decoder.memoryShare, decoder.neededBytes);
--- a/src/main/java/crankwick/transport/FairQueue.java
+++ b/src/main/java/crankwick/transport/FairQueue.java
@@ -56,10 +56,7 @@
             return;
         }
         flow.queued = true;
-        if (virtualTime - flow.virtualFinish >= credit) {
-            flow.creditLeft = credit;
-        }
-        flow.virtualFinish = Math.max(flow.virtualFinish, virtualTime - flow.creditLeft);
+        catchUp(flow);
         flow.position = flow.virtualFinish + nextCost;
         flow.sequence = additions++;
         flows.add(flow);
@@ -80,8 +77,17 @@
         return next.owner;
     }
 
-    /** Charges a flow that has been removed for the work of its turn. */
+    /** Brings a flow that has had little work lately up to virtual time, less its credit. */
+    private void catchUp(Flow<T> flow) {
+        if (virtualTime - flow.virtualFinish >= credit) {
+            flow.creditLeft = credit;
+        }
+        flow.virtualFinish = Math.max(flow.virtualFinish, virtualTime - flow.creditLeft);
+    }
+
+    /** Charges a flow that is not in the queue for the work of its turn. */
     public void charge(Flow<T> flow, long cost) {
+        catchUp(flow);
         flow.virtualFinish += cost;
         flow.creditLeft = Math.max(0, flow.creditLeft - cost);
         virtualTime += cost / (flows.size() + 1);
--- a/src/main/java/crankwick/transport/ReadPacer.java
+++ b/src/main/java/crankwick/transport/ReadPacer.java
@@ -13,8 +13,10 @@
  */
 final class ReadPacer {
     private static final int MAX_FULL_READS_PER_ROUND = 4;
-    /** The largest message of a protocol: one that has arrived whole is read without waiting for all others. */
-    private static final long CREDIT_BYTES = 256 * 1_024;
+    /** So much of a connection that has sent little is read before those that send on and on. */
+    private static final long CREDIT_BYTES = 64 * 1_024;
+    /** The work for a message beside that for its bytes, counted in bytes. */
+    private static final long MESSAGE_COST_BYTES = 512;
     /**
      * A read of more bytes may be followed by input that the peer has sent and its machine still holds, although the
      * read did not fill the buffer.
@@ -70,8 +72,8 @@
     private int fullReadsInRound;
     private boolean roundQueued;
 
-    /** Called on the selector thread after each read. */
-    void onRead(Connection<?> connection, int bytes) {
+    /** Called on the selector thread after each read, with the number of messages that it completed. */
+    void onRead(Connection<?> connection, int bytes, int messages) {
         boolean full = bytes >= Transport.READ_BUFFER_BYTES;
         Interest interest = interests.get(connection);
         synchronized (interest) {
@@ -87,7 +89,7 @@
             }
         }
         if (full) {
-            pace(connection, interest);
+            pace(connection, interest, bytes + messages * MESSAGE_COST_BYTES);
         }
         checkSilence(connection, interest);
     }
@@ -108,9 +110,9 @@
         });
     }
 
-    private void pace(Connection<?> connection, Interest interest) {
+    private void pace(Connection<?> connection, Interest interest, long cost) {
         fullReadsInRound++;
-        waiting.charge(interest.flow, Transport.READ_BUFFER_BYTES);
+        waiting.charge(interest.flow, cost);
         if (fullReadsInRound > MAX_FULL_READS_PER_ROUND || !waiting.isEmpty()) {
             interest.connection = connection;
             waiting.add(interest.flow, Transport.READ_BUFFER_BYTES);
--- a/src/test/java/crankwick/transport/FairQueueTest.java
+++ b/src/test/java/crankwick/transport/FairQueueTest.java
@@ -105,6 +105,19 @@
         assertTrue(turns <= 2 * LARGE / SMALL, turns + " turns");
     }
 
+    /** Guards against new flows whose first work costs nothing. */
+    @Test
+    void workBeforeTheFirstAdditionIsCharged() {
+        queue = new FairQueue<>(SMALL);
+        addOthers(SMALL);
+        queue.charge(flow("expensive"), LARGE);
+        add("expensive", SMALL);
+        queue.charge(flow("cheap"), SMALL);
+        add("cheap", SMALL);
+        assertTrue(turnsUntil("cheap", SMALL, false) <= 2 * OTHERS);
+        assertTrue(turnsUntil("expensive", SMALL, false) >= LARGE / SMALL);
+    }
+
     @Test
     void backloggedFlowsGetEqualWork() {
         Map<String, Integer> work = new HashMap<>(Map.of("a", 0, "b", 0));
