--- a/src/test/java/crankwick/app/BothWiresFixture.java
+++ b/src/test/java/crankwick/app/BothWiresFixture.java
@@ -2,6 +2,7 @@
 
 import static org.testng.Assert.assertEquals;
 
+import java.util.ArrayList;
 import java.util.List;
 import org.testng.annotations.DataProvider;
 
@@ -18,6 +19,17 @@
         return new Object[][] {{new PgTestClient()}, {new TdsTestClient()}};
     }
 
+    /** Each of the two clients with each of the values. */
+    final Object[][] wiresWith(Object[] values) {
+        List<Object[]> all = new ArrayList<>();
+        for (Object[] wire : wires()) {
+            for (Object value : values) {
+                all.add(new Object[] {wire[0], value});
+            }
+        }
+        return all.toArray(Object[][]::new);
+    }
+
     final String statement(String className, int deadlineMillis, String extraHints) {
         String key = className.equals("reserve") ? ",k=5c0f6e1a2b3d" + (lastId + 1) : "";
         return "/* id=" + ++lastId + ",c=" + className + ",d=" + deadlineMillis + key + ",cluster=0" + extraHints
--- a/src/test/java/crankwick/app/CrowdIT.java
+++ b/src/test/java/crankwick/app/CrowdIT.java
@@ -11,8 +11,6 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Set;
-import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
@@ -46,18 +44,9 @@
     /** All combinations of protocol and behaviour. */
     @DataProvider
     public Object[][] behaviours() {
-        List<Object[]> all = new ArrayList<>();
-        for (Object[] wire : wires()) {
-            for (Behaviour behaviour : Behaviour.values()) {
-                all.add(new Object[] {wire[0], behaviour});
-            }
-        }
-        return all.toArray(Object[][]::new);
+        return wiresWith(Behaviour.values());
     }
 
-    private final Set<Socket> sockets = ConcurrentHashMap.newKeySet();
-    private volatile boolean stopped;
-
     /** Guards against running out of memory while hundreds of clients send slowly, in part, or without reading. */
     @Test(dataProvider = "behaviours")
     public void memorySufficesForACrowd(TestWireClient wire, Behaviour behaviour) throws Exception {
@@ -71,7 +60,6 @@
     }
 
     private void assertOthersAreAnswered(TestWireClient wire, Behaviour behaviour, int paddingChars) throws Exception {
-        stopped = false;
         try (Deployment d = Deployment.onOneCore(wire, CORE, SOCKETS)) {
             AtomicInteger ids = new AtomicInteger(1 << 30);
             List<PacedClient> paced = new ArrayList<>();
@@ -79,17 +67,10 @@
                 paced.add(new PacedClient(d, ids, paddingChars));
             }
             Thread.sleep(300);
-            List<Thread> crowd = new ArrayList<>();
-            for (int i = 0; i < CLIENTS; i++) {
-                crowd.add(new Thread(() -> behaveUntilStopped(d, behaviour)));
-                crowd.get(i).start();
-            }
+            ClientCrowd crowd =
+                    new ClientCrowd(d, CLIENTS, (clients, socket) -> behave(clients, d.wire, socket, behaviour));
             Thread.sleep(CROWD_MILLIS);
-            stopped = true;
-            for (Thread client : crowd) {
-                closeAll();
-                client.join();
-            }
+            crowd.stop();
             Thread.sleep(1_000);
             paced.forEach(PacedClient::close);
             String seen =
@@ -112,31 +93,9 @@
         }
     }
 
-    private void closeAll() throws IOException {
-        for (Socket socket : sockets) {
-            socket.close();
-            sockets.remove(socket);
-        }
-    }
-
-    private void behaveUntilStopped(Deployment d, Behaviour behaviour) {
-        while (!stopped) {
-            try (Socket socket = d.connect()) {
-                sockets.add(socket);
-                socket.setSoTimeout(CROWD_MILLIS);
-                d.wire.login(socket, "collectors");
-                behave(d.wire, socket, behaviour);
-            } catch (IOException e) {
-                // The proxy has rejected or closed the connection.
-                Thread.onSpinWait();
-            } catch (InterruptedException e) {
-                return;
-            }
-        }
-    }
-
-    private void behave(TestWireClient wire, Socket socket, Behaviour behaviour)
+    private void behave(ClientCrowd crowd, TestWireClient wire, Socket socket, Behaviour behaviour)
             throws IOException, InterruptedException {
+        socket.setSoTimeout(CROWD_MILLIS);
         OutputStream out = socket.getOutputStream();
         byte[] large = wire.encodeCommand(write() + "x".repeat(LARGE_CHARS), 0);
         switch (behaviour) {
@@ -145,7 +104,7 @@
                 socket.getInputStream().read();
             }
             case WRITES_SLOWLY -> {
-                for (int at = 0; at + 1_000 < large.length && !stopped; at += 1_000) {
+                for (int at = 0; at + 1_000 < large.length && !crowd.isStopped(); at += 1_000) {
                     out.write(large, at, 1_000);
                     Thread.sleep(20);
                 }
@@ -168,7 +127,7 @@
             case READS_NO_ANSWERS -> {
                 byte[] empty = wire.encodeCommand("", 0);
                 String many = new String(empty, StandardCharsets.ISO_8859_1).repeat(EMPTY_STATEMENTS);
-                while (!stopped) {
+                while (!crowd.isStopped()) {
                     out.write(many.getBytes(StandardCharsets.ISO_8859_1));
                 }
             }
--- a/src/test/java/crankwick/app/FairTurnsIT.java
+++ b/src/test/java/crankwick/app/FairTurnsIT.java
@@ -6,10 +6,7 @@
 import java.io.DataInputStream;
 import java.io.IOException;
 import java.net.Socket;
-import java.util.ArrayList;
 import java.util.List;
-import java.util.Set;
-import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
@@ -45,28 +42,14 @@
     /** All combinations of protocol and message. */
     @DataProvider
     public Object[][] resent() {
-        List<Object[]> all = new ArrayList<>();
-        for (Object[] wire : wires()) {
-            for (Resent kind : Resent.values()) {
-                all.add(new Object[] {wire[0], kind});
-            }
-        }
-        return all.toArray(Object[][]::new);
+        return wiresWith(Resent.values());
     }
 
-    private final Set<Socket> sockets = ConcurrentHashMap.newKeySet();
-    private volatile boolean stopped;
-
     /** Guards against large or pipelined requests that wait without end while others send again at once. */
     @Test(dataProvider = "resent")
     public void largeAndPipelinedRequestsAreAnswered(TestWireClient wire, Resent resent) throws Exception {
-        stopped = false;
         try (Deployment d = Deployment.onOneCore(wire, CORE, SOCKETS)) {
-            List<Thread> resenders = new ArrayList<>();
-            for (int i = 0; i < RESENDERS; i++) {
-                resenders.add(new Thread(() -> resendUntilStopped(d, resent)));
-                resenders.get(i).start();
-            }
+            ClientCrowd resenders = new ClientCrowd(d, RESENDERS, (crowd, socket) -> resend(crowd, d, socket, resent));
             Thread.sleep(500);
             AtomicInteger ids = new AtomicInteger(1 << 30);
             List<PacedClient> paced = List.of(
@@ -75,11 +58,7 @@
                     new PacedClient(d, ids, LARGEST_CHARS),
                     PacedClient.pipelining(d, ids, READS_AT_ONCE));
             Thread.sleep(RESENDING_MILLIS);
-            stopped = true;
-            closeAll();
-            for (Thread resender : resenders) {
-                resender.join();
-            }
+            resenders.stop();
             paced.forEach(PacedClient::close);
             String seen = wire.getClass().getSimpleName() + " " + resent + ": " + paced + " "
                     + ProxyProcess.lateLines(d.log) + " " + d.terminate();
@@ -92,29 +71,12 @@
         }
     }
 
-    private void closeAll() throws IOException {
-        for (Socket socket : sockets) {
-            socket.close();
-        }
-        sockets.clear();
-    }
-
-    private void resendUntilStopped(Deployment d, Resent resent) {
+    private static void resend(ClientCrowd crowd, Deployment d, Socket socket, Resent resent) throws IOException {
         String statement = "/* id=1,c=nope,d=1000,cluster=0" + ",a=1".repeat(resent.hintChars / 4) + " */ SELECT 1";
-        while (!stopped) {
-            try (Socket socket = d.connect()) {
-                sockets.add(socket);
-                d.wire.login(socket, "collectors");
-                DataInputStream in = new DataInputStream(socket.getInputStream());
-                do {
-                    d.wire.send(socket, statement);
-                    d.wire.readAnswer(in);
-                } while (!stopped && !resent.reconnects);
-                sockets.remove(socket);
-            } catch (IOException e) {
-                // The proxy or the end of the test has closed the connection.
-                Thread.onSpinWait();
-            }
-        }
+        DataInputStream in = new DataInputStream(socket.getInputStream());
+        do {
+            d.wire.send(socket, statement);
+            d.wire.readAnswer(in);
+        } while (!crowd.isStopped() && !resent.reconnects);
     }
 }
--- a/src/test/java/crankwick/app/FullSpeedClientsIT.java
+++ b/src/test/java/crankwick/app/FullSpeedClientsIT.java
@@ -24,13 +24,7 @@
     /** All combinations of protocol and kind of message. */
     @DataProvider
     public Object[][] kinds() {
-        List<Object[]> all = new ArrayList<>();
-        for (Object[] wire : wires()) {
-            for (FullSpeedSender.Kind kind : FullSpeedSender.Kind.values()) {
-                all.add(new Object[] {wire[0], kind});
-            }
-        }
-        return all.toArray(Object[][]::new);
+        return wiresWith(FullSpeedSender.Kind.values());
     }
 
     /** Guards against late or lost answers, and memory that grows, while other clients send at full speed. */
